--- /dev/null
+++ b/apps/standin-backend/main.cpp
@@ -0,0 +1,98 @@
+#include "Pimentoward/Core/Log.h"
+#include "Pimentoward/Process/SettingsReader.h"
+#include "Pimentoward/Process/SignalWatch.h"
+#include "standins/BackendServerProcess.h"
+#include "standins/Deployment.h"
+
+#include <event2/event.h>
+
+#include <csignal>
+#include <iostream>
+
+using namespace pimentoward;
+
+namespace {
+
+using Servers = std::vector<std::unique_ptr<standins::BackendServerProcess>>;
+
+std::vector<SettingSpec> settingsTable()
+{
+    return {
+        {"deployment", SettingKind::Text, "", "File that describes VMs and services.", 0, 0, "",
+         false},
+        {"failure-domain", SettingKind::Text, "",
+         "Serve the backend servers of this failure domain only; empty: all.", 0, 0, "", true},
+        {"straggler-percent", SettingKind::Real, "0", "Share of subrequests that straggle.", 0, 100,
+         "", false},
+        {"straggler-factor", SettingKind::Real, "20", "How much longer a straggler takes.", 1, 1000,
+         "", false},
+        {"log-level", SettingKind::Choice, "INFO", "Level of the log.", 0, 0,
+         "TRACE,DEBUG,INFO,WARN,ERROR,OFF", false},
+    };
+}
+
+bool startService(event_base *loop, const standins::Deployment &deployment,
+                  const standins::ServiceShape &shape, const ResolvedSettings &settings,
+                  Servers &servers, Reason &reason)
+{
+    constexpr IndexVersion firstVersion = 1;
+    constexpr double percent = 100;
+    const ServiceCatalog catalog = deployment.catalog(shape, firstVersion);
+    const auto records = std::make_shared<const standins::RecordSet>(
+        standins::RecordSet::ofKind(shape.recordKind, shape.seed, shape.records));
+    const std::string &domain = settings.text("failure-domain");
+    std::uint32_t seed = shape.seed;
+    for (const auto &[id, description] : catalog.backendServers) {
+        ++seed;
+        if (!domain.empty() && description.failureDomain != domain) {
+            continue;
+        }
+        standins::BackendServerModel::Settings model;
+        model.slots = shape.slots;
+        model.serviceTime = shape.serviceTime;
+        model.stragglerShare = settings.real("straggler-percent") / percent;
+        model.stragglerFactor = settings.real("straggler-factor");
+        model.seed = seed;
+        servers.push_back(std::make_unique<standins::BackendServerProcess>(
+            loop, description, catalog, records, model));
+        if (!servers.back()->listen(reason)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    ExitCode exitCode {};
+    const SettingsReader reader("standin-backend", "Stand-in for backend servers", settingsTable());
+    const auto settings = reader.readOrExit(argc, argv, exitCode);
+    if (!settings) {
+        return static_cast<int>(exitCode);
+    }
+    Log::start(settings->text("log-level"));
+    Reason reason;
+    const auto deployment = standins::Deployment::load(settings->text("deployment"), reason);
+    if (!deployment) {
+        std::cerr << "standin-backend: " << reason.text << '\n';
+        return static_cast<int>(ExitCode::InvalidSettings);
+    }
+    event_base *loop = event_base_new();
+    {
+        Servers servers;
+        for (const standins::ServiceShape &shape : deployment->services) {
+            if (!startService(loop, *deployment, shape, *settings, servers, reason)) {
+                std::cerr << "standin-backend: " << reason.text << '\n';
+                return static_cast<int>(ExitCode::CannotListen);
+            }
+        }
+        const SignalWatch stop(loop, {SIGINT, SIGTERM},
+                               [loop](int) { event_base_loopbreak(loop); });
+        LOG4CPLUS_INFO(Log::part("backend"), "Serving " << servers.size() << " backend servers");
+        event_base_dispatch(loop);
+    }
+    event_base_free(loop);
+    return static_cast<int>(ExitCode::Success);
+}
--- /dev/null
+++ b/src/Pimentoward/Connection/HttpConnection.cpp
@@ -0,0 +1,177 @@
+#include "Pimentoward/Connection/HttpConnection.h"
+
+#include "Pimentoward/Process/Timer.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
+
+#include <algorithm>
+#include <cassert>
+#include <cctype>
+
+namespace pimentoward {
+
+namespace {
+
+evhttp_cmd_type commandOf(const std::string &method)
+{
+    if (method == "POST") {
+        return EVHTTP_REQ_POST;
+    }
+    if (method == "PUT") {
+        return EVHTTP_REQ_PUT;
+    }
+    if (method == "DELETE") {
+        return EVHTTP_REQ_DELETE;
+    }
+    return EVHTTP_REQ_GET;
+}
+
+HttpAnswer readAnswer(evhttp_request *request)
+{
+    HttpAnswer answer;
+    answer.status = evhttp_request_get_response_code(request);
+    for (const evkeyval *pair = evhttp_request_get_input_headers(request)->tqh_first;
+         pair != nullptr; pair = pair->next.tqe_next) {
+        std::string name = pair->key;
+        std::transform(name.begin(), name.end(), name.begin(),
+                       [](unsigned char letter) { return std::tolower(letter); });
+        answer.headers[name] = pair->value;
+    }
+    evbuffer *input = evhttp_request_get_input_buffer(request);
+    answer.body.resize(evbuffer_get_length(input));
+    evbuffer_remove(input, answer.body.data(), answer.body.size());
+    return answer;
+}
+
+} // namespace
+
+struct HttpConnection::State
+{
+    Address address;
+    event_base *loop = nullptr;
+    evhttp_connection *connection = nullptr;
+    evhttp_request *request = nullptr;
+    DoneHook done;
+    std::unique_ptr<Timer> deadline;
+    bool refusedAtStart = false;
+
+    void finish(std::optional<HttpAnswer> answer, const Reason &reason)
+    {
+        deadline->stop();
+        request = nullptr;
+        const DoneHook hook = std::move(done);
+        done = nullptr;
+        hook(std::move(answer), reason);
+    }
+
+    bool isConnected() const
+    {
+        bufferevent *stream
+            = connection == nullptr ? nullptr : evhttp_connection_get_bufferevent(connection);
+        if (stream == nullptr || bufferevent_getfd(stream) < 0) {
+            return false;
+        }
+        sockaddr_storage peer {};
+        socklen_t size = sizeof(peer);
+        return getpeername(bufferevent_getfd(stream), reinterpret_cast<sockaddr *>(&peer), &size)
+            == 0;
+    }
+
+    static void onDone(evhttp_request *request, void *self)
+    {
+        auto *state = static_cast<State *>(self);
+        if (state->done == nullptr) {
+            return;
+        }
+        if (request == nullptr) {
+            // libevent gives no request where an established connection broke.
+            state->finish(std::nullopt,
+                          {ResultCode::MayHaveRun, "the connection broke before the answer"});
+        } else if (evhttp_request_get_response_code(request) == 0) {
+            // It gives one without a status where the connection was never made.
+            state->failUnreachable();
+        } else {
+            state->finish(readAnswer(request), {});
+        }
+    }
+
+    void failUnreachable()
+    {
+        finish(std::nullopt,
+               {ResultCode::PeerUnreachable, "cannot connect to " + address.toString()});
+    }
+
+    void onDeadline()
+    {
+        if (refusedAtStart) {
+            failUnreachable();
+            return;
+        }
+        // Cancelling closes the connection: a late answer can never meet the next call.
+        if (request != nullptr) {
+            evhttp_cancel_request(request);
+        }
+        if (done != nullptr) {
+            finish(std::nullopt, {ResultCode::DeadlineExceeded, "no answer in time"});
+        }
+    }
+};
+
+HttpConnection::HttpConnection(event_base *loop, const Address &address)
+    : m_state(std::make_shared<State>())
+{
+    m_state->address = address;
+    m_state->loop = loop;
+    m_state->connection
+        = evhttp_connection_base_new(loop, nullptr, address.host.c_str(), address.port);
+    m_state->deadline
+        = std::make_unique<Timer>(loop, [state = m_state.get()] { state->onDeadline(); });
+}
+
+HttpConnection::~HttpConnection()
+{
+    // Freeing the connection may run the callback of a running call; it must find no hook.
+    m_state->done = nullptr;
+    evhttp_connection_free(m_state->connection);
+}
+
+void HttpConnection::send(const HttpCall &call, DoneHook done)
+{
+    assert(!isBusy());
+    m_state->done = std::move(done);
+    m_state->refusedAtStart = false;
+    evhttp_request *request = evhttp_request_new(&State::onDone, m_state.get());
+    m_state->request = request;
+    evkeyvalq *headers = evhttp_request_get_output_headers(request);
+    evhttp_add_header(headers, "Host", m_state->address.host.c_str());
+    for (const auto &[name, value] : call.headers) {
+        evhttp_add_header(headers, name.c_str(), value.c_str());
+    }
+    evbuffer_add(evhttp_request_get_output_buffer(request), call.body.data(), call.body.size());
+    m_state->deadline->startOnce(call.timeout);
+    if (evhttp_make_request(m_state->connection, request, commandOf(call.method),
+                            call.target.c_str())
+        != 0) {
+        // libevent has freed the request; the hook still runs from the loop.
+        m_state->request = nullptr;
+        m_state->refusedAtStart = true;
+        m_state->deadline->startOnce(Duration::zero());
+    }
+}
+
+bool HttpConnection::isBusy() const
+{
+    return m_state->done != nullptr;
+}
+
+bool HttpConnection::isConnected() const
+{
+    return m_state->isConnected();
+}
+
+} // namespace pimentoward
--- /dev/null
+++ b/src/Pimentoward/Connection/HttpServer.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "Pimentoward/Connection/HttpAnswer.h"
+#include "Pimentoward/Connection/HttpRequest.h"
+#include "Pimentoward/Connection/HttpServerSettings.h"
+#include "Pimentoward/Core/Address.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+struct event_base;
+struct evhttp;
+struct evhttp_bound_socket;
+struct evhttp_request;
+
+namespace pimentoward {
+
+/// An HTTP/1.1 server on a task's loop. Handlers may answer later, on the same loop.
+class HttpServer
+{
+public:
+    /// Sends the answer of one request; to be called exactly once, before the server ends.
+    using Responder = std::function<void(const HttpAnswer &)>;
+    using Handler = std::function<void(const HttpRequest &, Responder)>;
+
+    HttpServer(event_base *loop, const HttpServerSettings &settings);
+    ~HttpServer();
+    HttpServer(const HttpServer &) = delete;
+    HttpServer &operator=(const HttpServer &) = delete;
+
+    /// Serves `path` for one method. Unknown paths and methods get a numbered refusal.
+    void route(const std::string &method, const std::string &path, Handler handler);
+    /// Binds the address; false with InvalidSetting in `reason` where that fails.
+    bool listen(const Address &address, Reason &reason);
+    /// Takes no further connections; running requests go on.
+    void stopListening();
+    /// Requests that have no answer yet.
+    std::size_t openRequests() const;
+
+    /// The JSON answer that carries a result code and its sentence.
+    static HttpAnswer errorAnswer(const Reason &reason);
+
+private:
+    static void onRequest(evhttp_request *request, void *self);
+    void dispatch(evhttp_request *request);
+
+    evhttp *m_http;
+    evhttp_bound_socket *m_socket = nullptr;
+    std::map<std::string, std::map<std::string, Handler>> m_routes;
+    std::shared_ptr<std::size_t> m_openRequests;
+};
+
+} // namespace pimentoward
--- /dev/null
+++ b/src/Pimentoward/Core/Log.cpp
@@ -0,0 +1,41 @@
+#include "Pimentoward/Core/Log.h"
+
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+
+#include <memory>
+
+namespace pimentoward {
+
+void Log::start(const std::string &level)
+{
+    static log4cplus::Initializer initializer;
+    constexpr bool toStandardError = true;
+    constexpr bool flushEachLine = true;
+    log4cplus::SharedAppenderPtr appender(
+        new log4cplus::ConsoleAppender(toStandardError, flushEachLine));
+    const std::string pattern = "%D{%Y-%m-%dT%H:%M:%S.%q} %-5p [%c] %m%n";
+    appender->setLayout(std::make_unique<log4cplus::PatternLayout>(pattern));
+    log4cplus::Logger root = log4cplus::Logger::getRoot();
+    root.removeAllAppenders();
+    root.addAppender(appender);
+    changeLevel(level);
+}
+
+bool Log::changeLevel(const std::string &level)
+{
+    const auto value = log4cplus::getLogLevelManager().fromString(level);
+    if (value == log4cplus::NOT_SET_LOG_LEVEL) {
+        return false;
+    }
+    log4cplus::Logger::getRoot().setLogLevel(value);
+    return true;
+}
+
+log4cplus::Logger Log::part(const std::string &prefix)
+{
+    return log4cplus::Logger::getInstance(prefix);
+}
+
+} // namespace pimentoward
--- /dev/null
+++ b/src/Pimentoward/Core/ProjectVersion.h
@@ -0,0 +1,8 @@
+#pragma once
+
+namespace pimentoward {
+
+/// Version of the library and of all programs.
+inline constexpr const char *projectVersion = "0.1.0";
+
+} // namespace pimentoward
--- /dev/null
+++ b/src/Pimentoward/Core/ResultCode.cpp
@@ -0,0 +1,80 @@
+#include "Pimentoward/Core/ResultCode.h"
+
+#include <algorithm>
+
+namespace pimentoward {
+
+const std::vector<ResultCodeInfo> &resultCodeTable()
+{
+    using C = ResultCode;
+    static const std::vector<ResultCodeInfo> table {
+        {C::Ok, "ok", 200, "The whole answer from one index version."},
+        {C::PartialCoverage, "partial-coverage", 200,
+         "Some shards did not answer in time; they are named and the coverage is stated."},
+        {C::RecordedOutcome, "recorded-outcome", 200,
+         "The idempotency key was used before; this is the outcome recorded then."},
+        {C::MalformedRequest, "malformed-request", 400, "The request is no valid JSON object."},
+        {C::BodyTooLarge, "body-too-large", 413, "The body or a header is longer than allowed."},
+        {C::UnknownService, "unknown-service", 404, "No service has this name."},
+        {C::InvalidDeadline, "invalid-deadline", 400, "The deadline is outside its range."},
+        {C::MissingField, "missing-field", 400, "A required field is missing or of wrong type."},
+        {C::MethodNotAllowed, "method-not-allowed", 405, "The path takes another HTTP method."},
+        {C::UnknownPath, "unknown-path", 404, "There is nothing at this path."},
+        {C::InvalidMessage, "invalid-message", 400, "A peer message could not be decoded."},
+        {C::KeyConflict, "key-conflict", 409,
+         "The idempotency key was used with other content; nothing was run."},
+        {C::KeyExpired, "key-expired", 410, "The idempotency key is past its expiry."},
+        {C::InvalidSetting, "invalid-setting", 400, "A setting's value is not allowed."},
+        {C::RevisionConflict, "revision-conflict", 409,
+         "Another change came first; read the settings again."},
+        {C::UnsureWrite, "unsure-write", 503,
+         "It is not known yet whether the change took effect."},
+        {C::StoreUnavailable, "store-unavailable", 503, "The platform's store does not answer."},
+        {C::NotRunOverloaded, "not-run-overloaded", 503, "Not run: the queue is full."},
+        {C::NotRunDeadline, "not-run-deadline", 503, "Not run: it could not end in time."},
+        {C::NotRunNoContact, "not-run-no-contact", 503,
+         "Not run: this VM has no contact with more than half of the members."},
+        {C::NotRunNotOwner, "not-run-not-owner", 503,
+         "Not run: the VM does not own the backend server."},
+        {C::NotRunLeaving, "not-run-leaving", 503, "Not run: the VM or backend server is leaving."},
+        {C::NotRunStoreUnavailable, "not-run-store-unavailable", 503,
+         "Not run: the request could not be claimed in the store."},
+        {C::NotRunRefusedByBackend, "not-run-refused-by-backend", 503,
+         "Not run: the backend server refused it before any work."},
+        {C::NotRunCancelled, "not-run-cancelled", 503, "Not run: cancelled before dispatch."},
+        {C::DeadlineExceeded, "deadline-exceeded", 504, "No answer came before the deadline."},
+        {C::BackendFailed, "backend-failed", 502, "The backend server failed."},
+        {C::VersionGone, "version-gone", 502, "The backend server lacks the pinned version."},
+        {C::WrongReply, "wrong-reply", 502, "A reply did not belong to its request."},
+        {C::MayHaveRun, "may-have-run", 502,
+         "The request was dispatched and its outcome is unknown; it will not be run again."},
+        {C::PeerUnreachable, "peer-unreachable", 502, "The owner's VM could not be reached."},
+        {C::InternalError, "internal-error", 500, "A fault of the tier itself."},
+    };
+    return table;
+}
+
+const ResultCodeInfo &resultCodeInfo(ResultCode code)
+{
+    const auto &table = resultCodeTable();
+    const auto row = std::find_if(table.begin(), table.end(),
+                                  [code](const ResultCodeInfo &info) { return info.code == code; });
+    return row == table.end() ? table.back() : *row;
+}
+
+bool promisesNotRun(ResultCode code)
+{
+    return code >= ResultCode::NotRunOverloaded && code <= ResultCode::NotRunCancelled;
+}
+
+ResultCode resultCodeFromNumber(std::uint64_t number)
+{
+    for (const ResultCodeInfo &info : resultCodeTable()) {
+        if (static_cast<std::uint64_t>(info.code) == number) {
+            return info.code;
+        }
+    }
+    return ResultCode::InternalError;
+}
+
+} // namespace pimentoward
--- /dev/null
+++ b/src/Pimentoward/Core/SystemClock.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "Pimentoward/Core/Clock.h"
+
+namespace pimentoward {
+
+/// The operating system's clocks.
+class SystemClock final : public Clock
+{
+public:
+    SteadyTime now() const override { return std::chrono::steady_clock::now(); }
+    WallTime wallNow() const override { return std::chrono::system_clock::now(); }
+};
+
+} // namespace pimentoward
--- /dev/null
+++ b/src/Pimentoward/Core/Types.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace pimentoward {
+
+/// A point on the process's monotonic clock. Never sent to another process.
+using SteadyTime = std::chrono::steady_clock::time_point;
+/// A point of civil time, used only by the planning office's schedule and by key expiry.
+using WallTime = std::chrono::system_clock::time_point;
+/// The resolution in which decisions are made.
+using Duration = std::chrono::nanoseconds;
+
+/// Name of one VM of the tier, as the platform's VM list gives it.
+using MemberId = std::string;
+/// Name of one backend server, unique over all services.
+using BackendServerId = std::string;
+/// Name of one shard, unique within one version of a service's shard map.
+using ShardName = std::string;
+/// Name under which callers query a set of shards.
+using ServiceName = std::string;
+/// Name of one failure domain.
+using FailureDomain = std::string;
+/// Identifier of one caller request, unique over all VMs and restarts.
+using RequestId = std::string;
+
+/// Number of an index version; a higher number is newer.
+using IndexVersion = std::uint64_t;
+/// Number of a member list; rises by one with each change.
+using Epoch = std::uint64_t;
+/// Number of a settings document or store value; 0 means "absent".
+using Revision = std::uint64_t;
+/// Number of one run of a process or backend server; a restart takes a new one.
+using Incarnation = std::uint64_t;
+
+} // namespace pimentoward
--- /dev/null
+++ b/src/Pimentoward/Process/ControlTask.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "Pimentoward/Core/Address.h"
+#include "Pimentoward/Core/Clock.h"
+#include "Pimentoward/Process/ControlView.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <functional>
+#include <memory>
+
+namespace pimentoward {
+
+/// Settings of the control task.
+struct ControlTaskSettings
+{
+    Member self;
+    Address platform;
+    std::chrono::milliseconds storeCallTimeout {1000};
+    Address operatorListen;
+    Address peerListen;
+};
+
+/// The task that keeps a VM in step with the others: platform store, VM list, membership,
+/// ownership and settings. It publishes a ControlView with each change.
+class ControlTask
+{
+public:
+    using ViewHook = std::function<void(std::shared_ptr<const ControlView>)>;
+    using DumpHook = std::function<void(const nlohmann::json &)>;
+    /// Asks the query task for its state; the hook may run on any thread.
+    using QueryDumpHook = std::function<void(DumpHook)>;
+
+    /// `publish` runs on the control task.
+    ControlTask(const ControlTaskSettings &settings, const Clock &clock, ViewHook publish,
+                QueryDumpHook queryDump);
+    ~ControlTask();
+    ControlTask(const ControlTask &) = delete;
+    ControlTask &operator=(const ControlTask &) = delete;
+
+    /// Binds its addresses; to be called before start().
+    bool listen(Reason &reason);
+    void start();
+    void stop();
+    /// Collects the whole process's state and passes it to `hook`. From any thread.
+    void postDump(DumpHook hook);
+
+private:
+    struct State;
+    std::unique_ptr<State> m_state;
+};
+
+} // namespace pimentoward
--- /dev/null
+++ b/src/Pimentoward/Process/HttpStore.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "Pimentoward/Core/Address.h"
+#include "Pimentoward/Process/Store.h"
+
+#include <memory>
+
+struct event_base;
+
+namespace pimentoward {
+
+/// The platform's HTTP interface (docs/INTERFACES.md, "Platform").
+class HttpStore final : public Store
+{
+public:
+    /// `callTimeout` bounds each call but watches, which get their own wait on top.
+    HttpStore(event_base *loop, const Address &address, std::chrono::milliseconds callTimeout);
+    ~HttpStore() override;
+
+    void read(const std::string &key, ReadHook done) override;
+    void list(const std::string &prefix, KeysHook done) override;
+    void compareAndSwap(const std::string &key, Revision expected, const std::string &value,
+                        WriteHook done) override;
+    void watch(const std::string &key, Revision after, std::chrono::milliseconds wait,
+               ReadHook done) override;
+    void listVms(VmListHook done) override;
+
+    /// Calls made so far, each waiting watch counted as one.
+    std::uint64_t calls() const;
+
+private:
+    struct State;
+    std::shared_ptr<State> m_state;
+};
+
+} // namespace pimentoward
--- /dev/null
+++ b/src/Pimentoward/Process/OperatorSettings.cpp
@@ -0,0 +1,49 @@
+#include "Pimentoward/Process/OperatorSettings.h"
+
+namespace pimentoward {
+
+const std::vector<SettingSpec> &operatorSettingsTable()
+{
+    using namespace operator_settings;
+    using Kind = SettingKind;
+    static const std::vector<SettingSpec> table {
+        {queryDeadline, Kind::Milliseconds, "1000", "Deadline of a query whose caller gives none.",
+         1, 600'000, "", false},
+        {partialAnswer, Kind::Choice, answerInTime,
+         "Whether a query answers at its deadline with less coverage or fails below the target.", 0,
+         0, "time-first,coverage-first", false},
+        {coverageTarget, Kind::Real, "100",
+         "Coverage below which a coverage-first query is an error.", 0, 100, "", false},
+        {hedgeBudget, Kind::Real, "5", "Hedges allowed as a share of primary subrequests.", 0, 100,
+         "", false},
+        {hedgeQuantile, Kind::Real, "95",
+         "A subrequest is hedged once it has taken longer than this share of its service's.", 50,
+         99.9, "", false},
+        {retryBudget, Kind::Real, "5", "Retries allowed as a share of primary subrequests.", 0, 100,
+         "", false},
+        {ownerQueueLimit, Kind::Integer, "64", "Subrequests that may wait for one backend server.",
+         1, 100'000, "", false},
+        {entryQueueLimit, Kind::Integer, "512", "Caller requests that one VM runs at a time.", 1,
+         100'000, "", false},
+        {coldLimit, Kind::Integer, "1", "Subrequests that a cold backend server gets at a time.", 1,
+         1000, "", false},
+        {coldFactor, Kind::Real, "4",
+         "A server is taken for cold where its service time is above this multiple of normal.", 1.5,
+         100, "", false},
+        {domainOut, Kind::Flag, "false",
+         "True takes a failure domain out: its backend servers get no new work.", 0, 0, "", false},
+    };
+    return table;
+}
+
+const SettingSpec *findOperatorSetting(const std::string &name)
+{
+    for (const SettingSpec &spec : operatorSettingsTable()) {
+        if (spec.name == name) {
+            return &spec;
+        }
+    }
+    return nullptr;
+}
+
+} // namespace pimentoward
--- /dev/null
+++ b/src/Pimentoward/Process/QueryTask.cpp
@@ -0,0 +1,192 @@
+#include "Pimentoward/Process/QueryTask.h"
+
+#include "Pimentoward/Connection/HttpServer.h"
+#include "Pimentoward/Connection/Owner.h"
+#include "Pimentoward/Connection/PeerHub.h"
+#include "Pimentoward/Core/Log.h"
+#include "Pimentoward/Process/Task.h"
+#include "Pimentoward/Request/Coordinator.h"
+
+#include <nlohmann/json.hpp>
+
+namespace pimentoward {
+
+namespace {
+
+constexpr int statusOk = 200;
+constexpr int statusUnavailable = 503;
+
+HttpAnswer textAnswer(int status, const std::string &text)
+{
+    return {status, text + "\n", "text/plain", {}};
+}
+
+} // namespace
+
+struct QueryTask::State
+{
+    State(const QueryTaskSettings &s, const Clock &c)
+        : settings(s)
+        , clock(c)
+        , task("query")
+        , http(task.loop(), s.http)
+        , hub(task.loop(), s.self, [this](const std::string &bytes) { onPeerMessage(bytes); })
+        , owner(task.loop(), c,
+                [this](const MemberId &to, const Subreply &reply) { sendReply(to, reply); })
+        , coordinator(task.loop(), c, s.self, s.requestPrefix,
+                      {[this](const MemberId &to, const SubrequestBatch &batch) {
+                           return sendBatch(to, batch);
+                       },
+                       [this](const MemberId &to, const SubrequestCancel &cancel) {
+                           return sendCancel(to, cancel);
+                       }})
+    {
+        addRoutes();
+    }
+
+    QueryTaskSettings settings;
+    const Clock &clock;
+    Task task;
+    HttpServer http;
+    PeerHub hub;
+    Owner owner;
+    Coordinator coordinator;
+    std::shared_ptr<const ControlView> view;
+    std::uint64_t badMessages = 0;
+    log4cplus::Logger log = Log::part("query");
+
+    void addRoutes()
+    {
+        http.route("POST", "/query", [this](const HttpRequest &request, const auto &respond) {
+            query(request, respond);
+        });
+        http.route("GET", "/health/live", [](const HttpRequest &, const auto &respond) {
+            respond(textAnswer(statusOk, "live"));
+        });
+        http.route("GET", "/health/ready", [this](const HttpRequest &, const auto &respond) {
+            const bool ready = view != nullptr && view->hasContact(clock.now()) && !view->leaving
+                && !view->services.empty();
+            respond(ready ? textAnswer(statusOk, "ready")
+                          : textAnswer(statusUnavailable, "not ready"));
+        });
+    }
+
+    void query(const HttpRequest &request, const HttpServer::Responder &respond)
+    {
+        Reason reason;
+        const auto parsed = CallerRequest::parse(request.body, reason);
+        if (!parsed) {
+            respond(HttpServer::errorAnswer(reason));
+            return;
+        }
+        coordinator.query(*parsed, [respond](const QueryAnswer &answer) {
+            const int status = resultCodeInfo(answer.outcome.code).httpStatus;
+            respond({status, answer.toJson(), "application/json", {}});
+        });
+    }
+
+    bool sendBatch(const MemberId &to, const SubrequestBatch &batch)
+    {
+        if (to != settings.self) {
+            return hub.send(to, encodePeerMessage(batch));
+        }
+        // Posted, so that a refusal cannot come before the coordinator has sent all batches.
+        task.post([this, batch] { owner.take(batch); });
+        return true;
+    }
+
+    bool sendCancel(const MemberId &to, const SubrequestCancel &cancel)
+    {
+        if (to != settings.self) {
+            return hub.send(to, encodePeerMessage(cancel));
+        }
+        task.post([this, cancel] { owner.cancel(cancel); });
+        return true;
+    }
+
+    void sendReply(const MemberId &to, const Subreply &reply)
+    {
+        if (to != settings.self) {
+            hub.send(to, encodePeerMessage(reply));
+            return;
+        }
+        task.post([this, reply] { coordinator.onSubreply(reply); });
+    }
+
+    void onPeerMessage(const std::string &bytes)
+    {
+        Reason reason;
+        const auto message = decodePeerMessage(bytes, reason);
+        if (!message) {
+            ++badMessages;
+            LOG4CPLUS_WARN(log, "Peer message refused: " << reason.text);
+            return;
+        }
+        if (const auto *batch = std::get_if<SubrequestBatch>(&*message)) {
+            owner.take(*batch);
+        } else if (const auto *cancel = std::get_if<SubrequestCancel>(&*message)) {
+            owner.cancel(*cancel);
+        } else if (const auto *reply = std::get_if<Subreply>(&*message)) {
+            coordinator.onSubreply(*reply);
+        }
+    }
+
+    void updateView(std::shared_ptr<const ControlView> newView)
+    {
+        view = std::move(newView);
+        std::map<MemberId, Address> peers;
+        for (const auto &[id, member] : view->members) {
+            peers[id] = {member.host, settings.peerListen.port};
+        }
+        hub.updatePeers(peers);
+        owner.updateView(view);
+        coordinator.updateView(view);
+    }
+
+    nlohmann::json dump() const
+    {
+        return {{"coordinator", coordinator.dump()},
+                {"backendServers", owner.dump()},
+                {"peerBytesSent", hub.bytesSent()},
+                {"peerBytesReceived", hub.bytesReceived()},
+                {"badPeerMessages", badMessages}};
+    }
+};
+
+QueryTask::QueryTask(const QueryTaskSettings &settings, const Clock &clock)
+    : m_state(std::make_unique<State>(settings, clock))
+{ }
+
+QueryTask::~QueryTask()
+{
+    stop();
+}
+
+bool QueryTask::listen(Reason &reason)
+{
+    return m_state->http.listen(m_state->settings.callerListen, reason)
+        && m_state->hub.listen(m_state->settings.peerListen, reason);
+}
+
+void QueryTask::start()
+{
+    m_state->task.start();
+}
+
+void QueryTask::stop()
+{
+    m_state->task.stop();
+}
+
+void QueryTask::postView(std::shared_ptr<const ControlView> view)
+{
+    m_state->task.post(
+        [state = m_state.get(), view = std::move(view)] { state->updateView(view); });
+}
+
+void QueryTask::postDump(DumpHook hook)
+{
+    m_state->task.post([state = m_state.get(), hook = std::move(hook)] { hook(state->dump()); });
+}
+
+} // namespace pimentoward
--- /dev/null
+++ b/src/Pimentoward/Process/SettingsDocument.cpp
@@ -0,0 +1,182 @@
+#include "Pimentoward/Process/SettingsDocument.h"
+
+#include "Pimentoward/Process/OperatorSettings.h"
+#include "Pimentoward/Process/SettingsReader.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cassert>
+
+namespace pimentoward {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr const char *serviceScope = "service";
+constexpr const char *failureDomainScope = "failure-domain";
+
+bool refuse(Reason &reason, const std::string &why)
+{
+    reason = {ResultCode::InvalidSetting, why};
+    return false;
+}
+
+bool checkSetting(const std::string &name, const std::string &value, Reason &reason)
+{
+    const SettingSpec *spec = findOperatorSetting(name);
+    if (spec == nullptr) {
+        return refuse(reason, "there is no setting '" + name + "'");
+    }
+    if (const auto wrong = SettingsReader::checkValue(*spec, value)) {
+        return refuse(reason, *wrong);
+    }
+    return true;
+}
+
+bool checkException(const SettingsException &exception, Reason &reason)
+{
+    if (exception.target.empty()) {
+        return refuse(reason, "an exception must name a service or a failure domain");
+    }
+    if (exception.reason.empty() || exception.reason.size() > SettingsDocument::longestReason) {
+        return refuse(reason,
+                      "the exception for '" + exception.target + "' needs a written reason of 1 to "
+                          + std::to_string(SettingsDocument::longestReason) + " bytes");
+    }
+    const bool forDomain = exception.scope == ExceptionScope::OneFailureDomain;
+    if (exception.setting == operator_settings::domainOut && !forDomain) {
+        return refuse(reason, "'out-of-service' applies to failure domains only");
+    }
+    return checkSetting(exception.setting, exception.value, reason);
+}
+
+std::optional<ExceptionScope> scopeFromName(const std::string &name)
+{
+    if (name == serviceScope) {
+        return ExceptionScope::OneService;
+    }
+    if (name == failureDomainScope) {
+        return ExceptionScope::OneFailureDomain;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::optional<SettingsDocument> SettingsDocument::parse(const std::string &json, Reason &reason)
+{
+    try {
+        const Json root = Json::parse(json);
+        SettingsDocument document;
+        document.revision = root.at("revision").get<Revision>();
+        document.changeId = root.value("changeId", std::string());
+        document.defaults = root.at("defaults").get<std::map<std::string, std::string>>();
+        for (const Json &item : root.at("exceptions")) {
+            const auto scope = scopeFromName(item.at("scope").get<std::string>());
+            if (!scope) {
+                refuse(reason, "an exception's scope is 'service' or 'failure-domain'");
+                return std::nullopt;
+            }
+            document.exceptions.push_back({*scope, item.at("target").get<std::string>(),
+                                           item.at("setting").get<std::string>(),
+                                           item.at("value").get<std::string>(),
+                                           item.at("reason").get<std::string>()});
+        }
+        if (!document.check(reason)) {
+            return std::nullopt;
+        }
+        return document;
+    } catch (const Json::exception &error) {
+        refuse(reason, std::string("the settings are no valid document: ") + error.what());
+        return std::nullopt;
+    }
+}
+
+std::string SettingsDocument::toJson() const
+{
+    Json list = Json::array();
+    for (const SettingsException &exception : exceptions) {
+        const bool forDomain = exception.scope == ExceptionScope::OneFailureDomain;
+        list.push_back({{"scope", forDomain ? failureDomainScope : serviceScope},
+                        {"target", exception.target},
+                        {"setting", exception.setting},
+                        {"value", exception.value},
+                        {"reason", exception.reason}});
+    }
+    return Json {{"revision", revision},
+                 {"changeId", changeId},
+                 {"defaults", defaults},
+                 {"exceptions", std::move(list)}}
+        .dump();
+}
+
+bool SettingsDocument::check(Reason &reason) const
+{
+    if (exceptions.size() > mostExceptions) {
+        return refuse(reason,
+                      "there may be " + std::to_string(mostExceptions) + " exceptions at most");
+    }
+    for (const auto &[name, value] : defaults) {
+        if (name == operator_settings::domainOut) {
+            return refuse(reason, "'out-of-service' is set by exceptions only");
+        }
+        if (!checkSetting(name, value, reason)) {
+            return false;
+        }
+    }
+    for (const SettingsException &exception : exceptions) {
+        if (!checkException(exception, reason)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+std::string SettingsDocument::value(const std::string &setting, const ServiceName &service,
+                                    const FailureDomain &failureDomain) const
+{
+    const SettingsException *found = nullptr;
+    for (const SettingsException &exception : exceptions) {
+        const bool forDomain = exception.scope == ExceptionScope::OneFailureDomain;
+        if (exception.setting != setting
+            || exception.target != (forDomain ? failureDomain : service)) {
+            continue;
+        }
+        if (found == nullptr || forDomain) {
+            found = &exception;
+        }
+    }
+    if (found != nullptr) {
+        return found->value;
+    }
+    if (const auto changed = defaults.find(setting); changed != defaults.end()) {
+        return changed->second;
+    }
+    const SettingSpec *spec = findOperatorSetting(setting);
+    assert(spec != nullptr && "setting is not in the operators' table");
+    return spec->defaultText;
+}
+
+double SettingsDocument::real(const std::string &setting, const ServiceName &service) const
+{
+    return std::stod(value(setting, service));
+}
+
+int SettingsDocument::integer(const std::string &setting, const ServiceName &service) const
+{
+    return std::stoi(value(setting, service));
+}
+
+std::chrono::milliseconds SettingsDocument::milliseconds(const std::string &setting,
+                                                         const ServiceName &service) const
+{
+    return std::chrono::milliseconds(integer(setting, service));
+}
+
+bool SettingsDocument::isOut(const FailureDomain &failureDomain) const
+{
+    return value(operator_settings::domainOut, {}, failureDomain) == "true";
+}
+
+} // namespace pimentoward
--- /dev/null
+++ b/src/Pimentoward/Process/SettingsReader.cpp
@@ -0,0 +1,252 @@
+#include "Pimentoward/Process/SettingsReader.h"
+
+#include "Pimentoward/Core/ProjectVersion.h"
+
+#include <cxxopts.hpp>
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+#include <cstdlib>
+#include <iostream>
+#include <sstream>
+
+namespace pimentoward {
+
+namespace {
+
+constexpr const char *helpFlag = "help";
+constexpr const char *versionFlag = "version";
+constexpr const char *checkFlag = "check";
+constexpr const char *printFlag = "print-settings";
+
+std::optional<std::string> processEnvironment(const std::string &name)
+{
+    if (const char *value = std::getenv(name.c_str())) {
+        return std::string(value);
+    }
+    return std::nullopt;
+}
+
+bool isNumberKind(SettingKind kind)
+{
+    return kind == SettingKind::Integer || kind == SettingKind::Real
+        || kind == SettingKind::Milliseconds;
+}
+
+std::string trimmedNumber(double value)
+{
+    std::ostringstream text;
+    text << value;
+    return text.str();
+}
+
+bool isChoice(const std::string &choices, const std::string &value)
+{
+    std::istringstream list(choices);
+    for (std::string choice; std::getline(list, choice, ',');) {
+        if (choice == value) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool numberInRange(const SettingSpec &spec, const std::string &value)
+{
+    double number = 0;
+    const char *end = value.data() + value.size();
+    if (spec.kind == SettingKind::Real) {
+        const auto [last, error] = std::from_chars(value.data(), end, number);
+        if (error != std::errc() || last != end) {
+            return false;
+        }
+    } else {
+        std::int64_t whole = 0;
+        const auto [last, error] = std::from_chars(value.data(), end, whole);
+        if (error != std::errc() || last != end) {
+            return false;
+        }
+        number = static_cast<double>(whole);
+    }
+    return number >= spec.lowest && number <= spec.highest;
+}
+
+cxxopts::Options buildOptions(const std::string &program, const std::string &description,
+                              const std::vector<SettingSpec> &table)
+{
+    cxxopts::Options options(program, description);
+    auto add = options.add_options();
+    for (const SettingSpec &spec : table) {
+        std::string text = spec.help + " Allowed: " + SettingsReader::allowedValues(spec) + ". "
+            + (spec.defaultText.empty() ? "" : "Default: " + spec.defaultText + ". ")
+            + "Variable: " + SettingsReader::variableName(spec.name) + ".";
+        if (spec.kind == SettingKind::Flag) {
+            add(spec.name, text, cxxopts::value<std::string>()->implicit_value("true"));
+        } else {
+            add(spec.name, text, cxxopts::value<std::string>());
+        }
+    }
+    add(helpFlag, "Print this help and exit.");
+    add(versionFlag, "Print the version and exit.");
+    add(checkFlag, "Check the settings and exit.");
+    add(printFlag, "Print each setting's value and where it came from, and exit.");
+    return options;
+}
+
+} // namespace
+
+SettingsReader::SettingsReader(std::string program, std::string description,
+                               std::vector<SettingSpec> table)
+    : m_program(std::move(program))
+    , m_description(std::move(description))
+    , m_table(std::move(table))
+    , m_environment(processEnvironment)
+{ }
+
+SettingsReader &SettingsReader::environment(EnvironmentHook hook)
+{
+    m_environment = std::move(hook);
+    return *this;
+}
+
+SettingsReader &SettingsReader::crossCheck(CrossCheckHook hook)
+{
+    m_crossChecks.push_back(std::move(hook));
+    return *this;
+}
+
+std::string SettingsReader::variableName(const std::string &settingName)
+{
+    std::string name = "PIMENTOWARD_";
+    for (const char letter : settingName) {
+        name += letter == '-' ? '_' : static_cast<char>(std::toupper(letter));
+    }
+    return name;
+}
+
+std::string SettingsReader::allowedValues(const SettingSpec &spec)
+{
+    switch (spec.kind) {
+    case SettingKind::Integer:
+    case SettingKind::Real:
+        return trimmedNumber(spec.lowest) + " to " + trimmedNumber(spec.highest);
+    case SettingKind::Milliseconds:
+        return trimmedNumber(spec.lowest) + " to " + trimmedNumber(spec.highest) + " milliseconds";
+    case SettingKind::AddressValue:
+        return "IP:PORT, with an IPv4 number and a port from 1 to 65535";
+    case SettingKind::Choice:
+        return "one of " + spec.choices;
+    case SettingKind::Flag:
+        return "true or false";
+    case SettingKind::Text:
+        break;
+    }
+    return spec.optional ? "any text, or empty" : "any text that is not empty";
+}
+
+std::optional<std::string> SettingsReader::checkValue(const SettingSpec &spec,
+                                                      const std::string &value)
+{
+    const auto refuse = [&](const std::string &why) {
+        return "setting '" + spec.name + "' has the value '" + value + "': " + why
+            + "; allowed: " + allowedValues(spec);
+    };
+    if (value.empty()) {
+        return spec.optional ? std::nullopt : std::optional(refuse("it is required"));
+    }
+    if (isNumberKind(spec.kind) && !numberInRange(spec, value)) {
+        return refuse("it is no number in the range");
+    }
+    if (spec.kind == SettingKind::Choice && !isChoice(spec.choices, value)) {
+        return refuse("it is none of the choices");
+    }
+    if (spec.kind == SettingKind::Flag && value != "true" && value != "false") {
+        return refuse("it is neither true nor false");
+    }
+    if (Reason reason; spec.kind == SettingKind::AddressValue && !Address::parse(value, reason)) {
+        return refuse(reason.text);
+    }
+    return std::nullopt;
+}
+
+std::optional<ResolvedSettings> SettingsReader::read(int argc, const char *const *argv,
+                                                     Reason &reason) const
+{
+    const auto refuse = [&](const std::string &why) -> std::optional<ResolvedSettings> {
+        reason = {ResultCode::InvalidSetting, why};
+        return std::nullopt;
+    };
+    std::map<std::string, ResolvedSettings::Entry> entries;
+    try {
+        cxxopts::Options options = buildOptions(m_program, m_description, m_table);
+        const cxxopts::ParseResult parsed = options.parse(argc, argv);
+        if (!parsed.unmatched().empty()) {
+            return refuse("'" + parsed.unmatched().front() + "' is no setting; see --help");
+        }
+        for (const SettingSpec &spec : m_table) {
+            ResolvedSettings::Entry entry {spec.defaultText, ResolvedSettings::Origin::Default};
+            if (const auto value = m_environment(variableName(spec.name))) {
+                entry = {*value, ResolvedSettings::Origin::Environment};
+            }
+            if (parsed.count(spec.name) > 0) {
+                entry = {parsed[spec.name].as<std::string>(), ResolvedSettings::Origin::Flag};
+            }
+            if (const auto wrong = checkValue(spec, entry.text)) {
+                return refuse(*wrong);
+            }
+            entries[spec.name] = entry;
+        }
+    } catch (const cxxopts::exceptions::exception &error) {
+        return refuse(std::string(error.what()) + "; see --help");
+    }
+    ResolvedSettings settings(std::move(entries));
+    for (const CrossCheckHook &check : m_crossChecks) {
+        if (const auto wrong = check(settings)) {
+            return refuse(*wrong);
+        }
+    }
+    return settings;
+}
+
+std::optional<ResolvedSettings> SettingsReader::readOrExit(int argc, const char *const *argv,
+                                                           ExitCode &exitCode) const
+{
+    exitCode = ExitCode::Success;
+    // Help and version come before any check, so that they work without required settings.
+    const auto given = [&](const std::string &flag) {
+        return std::any_of(argv + 1, argv + argc,
+                           [&](const char *argument) { return "--" + flag == argument; });
+    };
+    if (given(helpFlag)) {
+        std::cout << help();
+        return std::nullopt;
+    }
+    if (given(versionFlag)) {
+        std::cout << m_program << ' ' << projectVersion << '\n';
+        return std::nullopt;
+    }
+    Reason reason;
+    auto settings = read(argc, argv, reason);
+    if (!settings) {
+        std::cerr << m_program << ": " << reason.text << '\n';
+        exitCode = ExitCode::InvalidSettings;
+        return std::nullopt;
+    }
+    if (given(printFlag)) {
+        std::cout << settings->describe();
+        return std::nullopt;
+    }
+    if (given(checkFlag)) {
+        std::cout << m_program << ": the settings are valid\n";
+        return std::nullopt;
+    }
+    return settings;
+}
+
+std::string SettingsReader::help() const
+{
+    return buildOptions(m_program, m_description, m_table).help();
+}
+
+} // namespace pimentoward
--- /dev/null
+++ b/src/Pimentoward/Request/CallerRequest.cpp
@@ -0,0 +1,92 @@
+#include "Pimentoward/Request/CallerRequest.h"
+
+#include <nlohmann/json.hpp>
+
+namespace pimentoward {
+
+namespace {
+
+using Json = nlohmann::json;
+
+/// Reads an optional text field; false where it is there with another type or is too long.
+bool readText(const Json &root, const char *name, std::string &text, Reason &reason)
+{
+    constexpr std::size_t longestText = 1024; // bytes
+    const auto found = root.find(name);
+    if (found == root.end()) {
+        return true;
+    }
+    if (!found->is_string() || found->get_ref<const std::string &>().size() > longestText) {
+        reason = {ResultCode::MissingField,
+                  std::string("field '") + name + "' must be a text of at most 1024 bytes"};
+        return false;
+    }
+    text = found->get<std::string>();
+    return true;
+}
+
+bool readDeadline(const Json &root, std::optional<std::chrono::milliseconds> &deadline,
+                  Reason &reason)
+{
+    const auto found = root.find("deadlineMs");
+    if (found == root.end()) {
+        return true;
+    }
+    const std::int64_t most = CallerRequest::longestDeadline.count();
+    const bool inRange = found->is_number_integer() && found->get<double>() >= 1
+        && found->get<double>() <= static_cast<double>(most);
+    if (!inRange) {
+        reason = {ResultCode::InvalidDeadline,
+                  "field 'deadlineMs' must be a whole number from 1 to " + std::to_string(most)};
+        return false;
+    }
+    deadline = std::chrono::milliseconds(found->get<std::int64_t>());
+    return true;
+}
+
+} // namespace
+
+std::optional<CallerRequest> CallerRequest::parse(const std::string &json, Reason &reason)
+{
+    constexpr bool throwOnError = false;
+    const Json root = Json::parse(json, nullptr, throwOnError);
+    if (!root.is_object()) {
+        reason = {ResultCode::MalformedRequest, "the body is no valid JSON object"};
+        return std::nullopt;
+    }
+    CallerRequest request;
+    std::string className = requestClassName(RequestClass::Interactive);
+    if (!readText(root, "service", request.service, reason)
+        || !readText(root, "key", request.key, reason)
+        || !readText(root, "field", request.field, reason)
+        || !readText(root, "value", request.value, reason)
+        || !readText(root, "class", className, reason)
+        || !readDeadline(root, request.deadline, reason)) {
+        return std::nullopt;
+    }
+    const auto requestClass = requestClassFromName(className);
+    if (!requestClass) {
+        reason = {ResultCode::MissingField,
+                  "field 'class' must be one of interactive, evening, batch"};
+        return std::nullopt;
+    }
+    request.requestClass = *requestClass;
+    if (request.service.empty()) {
+        reason = {ResultCode::MissingField, "field 'service' is required"};
+        return std::nullopt;
+    }
+    if (request.key.empty() == request.field.empty()) {
+        reason = {ResultCode::MissingField, "give either 'key' (lookup) or 'field' (search)"};
+        return std::nullopt;
+    }
+    return request;
+}
+
+std::string CallerRequest::backendBody() const
+{
+    constexpr auto replaceInvalidText = Json::error_handler_t::replace;
+    const Json body = isLookup() ? Json {{"key", key}} : Json {{"field", field}, {"value", value}};
+    return body.dump(-1, ' ', false, replaceInvalidText);
+}
+
+} // namespace pimentoward
--- /dev/null
+++ b/src/Pimentoward/Request/Messages.cpp
@@ -0,0 +1,159 @@
+#include "Pimentoward/Request/Messages.h"
+
+#include <nlohmann/json.hpp>
+
+namespace pimentoward {
+
+namespace {
+
+using Json = nlohmann::json;
+
+enum class MessageType : int { SubrequestBatch = 1, SubrequestCancel = 2, Subreply = 3 };
+
+constexpr std::size_t mostItems = 4096;
+
+Json binary(const std::string &bytes)
+{
+    return Json::binary({bytes.begin(), bytes.end()});
+}
+
+std::string readBinary(const Json &json)
+{
+    const auto &bytes = json.get_binary();
+    return {bytes.begin(), bytes.end()};
+}
+
+RequestClass readRequestClass(const Json &json)
+{
+    const auto number = json.get<std::uint64_t>();
+    if (number > static_cast<std::uint64_t>(RequestClass::Batch)) {
+        throw Json::other_error::create(0, "unknown request class", &json);
+    }
+    return static_cast<RequestClass>(number);
+}
+
+// Field keys are single letters: a batch or reply is sent for every subrequest.
+
+Json toJson(const SubrequestBatch &batch)
+{
+    Json items = Json::array();
+    for (const SubrequestItem &item : batch.items) {
+        items.push_back(Json::array({item.number, item.shard, item.backendServer}));
+    }
+    return {{"t", static_cast<int>(MessageType::SubrequestBatch)},
+            {"r", batch.requestId},
+            {"o", batch.coordinator},
+            {"s", batch.service},
+            {"v", batch.version},
+            {"c", static_cast<unsigned>(batch.requestClass)},
+            {"l", batch.timeLeft.count()},
+            {"a", batch.atMostOnce},
+            {"b", binary(batch.body)},
+            {"i", std::move(items)}};
+}
+
+Json toJson(const SubrequestCancel &cancel)
+{
+    return {{"t", static_cast<int>(MessageType::SubrequestCancel)},
+            {"r", cancel.requestId},
+            {"o", cancel.coordinator},
+            {"n", cancel.numbers}};
+}
+
+Json toJson(const Subreply &reply)
+{
+    return {{"t", static_cast<int>(MessageType::Subreply)},
+            {"r", reply.requestId},
+            {"n", reply.number},
+            {"s", reply.shard},
+            {"k", reply.backendServer},
+            {"v", reply.version},
+            {"c", static_cast<unsigned>(reply.code)},
+            {"d", reply.detail},
+            {"b", binary(reply.body)},
+            {"q", reply.load.queueLength},
+            {"m", reply.load.limit},
+            {"u", reply.load.serviceTime.count()},
+            {"w", reply.load.cold}};
+}
+
+SubrequestBatch readBatch(const Json &json)
+{
+    SubrequestBatch batch;
+    batch.requestId = json.at("r").get<std::string>();
+    batch.coordinator = json.at("o").get<std::string>();
+    batch.service = json.at("s").get<std::string>();
+    batch.version = json.at("v").get<std::uint64_t>();
+    batch.requestClass = readRequestClass(json.at("c"));
+    batch.timeLeft = std::chrono::milliseconds(json.at("l").get<std::int64_t>());
+    batch.atMostOnce = json.at("a").get<bool>();
+    batch.body = readBinary(json.at("b"));
+    const Json &items = json.at("i");
+    if (items.size() > mostItems) {
+        throw Json::other_error::create(0, "too many subrequests", &items);
+    }
+    for (const Json &item : items) {
+        batch.items.push_back({item.at(0).get<std::uint32_t>(), item.at(1).get<std::string>(),
+                               item.at(2).get<std::string>()});
+    }
+    return batch;
+}
+
+SubrequestCancel readCancel(const Json &json)
+{
+    return {json.at("r").get<std::string>(), json.at("o").get<std::string>(),
+            json.at("n").get<std::vector<std::uint32_t>>()};
+}
+
+Subreply readSubreply(const Json &json)
+{
+    Subreply reply;
+    reply.requestId = json.at("r").get<std::string>();
+    reply.number = json.at("n").get<std::uint32_t>();
+    reply.shard = json.at("s").get<std::string>();
+    reply.backendServer = json.at("k").get<std::string>();
+    reply.version = json.at("v").get<std::uint64_t>();
+    reply.code = resultCodeFromNumber(json.at("c").get<std::uint64_t>());
+    reply.detail = json.at("d").get<std::string>();
+    reply.body = readBinary(json.at("b"));
+    reply.load.queueLength = json.at("q").get<std::uint32_t>();
+    reply.load.limit = json.at("m").get<std::uint32_t>();
+    reply.load.serviceTime = std::chrono::microseconds(json.at("u").get<std::int64_t>());
+    reply.load.cold = json.at("w").get<bool>();
+    return reply;
+}
+
+PeerMessage readMessage(const Json &json)
+{
+    switch (static_cast<MessageType>(json.at("t").get<int>())) {
+    case MessageType::SubrequestBatch:
+        return readBatch(json);
+    case MessageType::SubrequestCancel:
+        return readCancel(json);
+    case MessageType::Subreply:
+        return readSubreply(json);
+    }
+    throw Json::other_error::create(0, "unknown message type", &json);
+}
+
+} // namespace
+
+std::string encodePeerMessage(const PeerMessage &message)
+{
+    const Json json = std::visit([](const auto &value) { return toJson(value); }, message);
+    std::string bytes;
+    Json::to_cbor(json, bytes);
+    return bytes;
+}
+
+std::optional<PeerMessage> decodePeerMessage(const std::string &bytes, Reason &reason)
+{
+    try {
+        return readMessage(Json::from_cbor(bytes));
+    } catch (const Json::exception &error) {
+        reason = {ResultCode::InvalidMessage, error.what()};
+        return std::nullopt;
+    }
+}
+
+} // namespace pimentoward
--- /dev/null
+++ b/src/Pimentoward/Version/ShardMap.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "Pimentoward/Core/Reason.h"
+#include "Pimentoward/Core/Types.h"
+#include "Pimentoward/Version/KeyRange.h"
+
+#include <optional>
+#include <vector>
+
+namespace pimentoward {
+
+/// One shard: its part of the key space and the backend servers that hold a replica.
+struct Shard
+{
+    ShardName name;
+    KeyRange range;
+    std::vector<BackendServerId> replicas;
+};
+
+/// How one index version divides the key space. Immutable; its shards cover the whole key space
+/// without gaps or overlaps.
+class ShardMap
+{
+public:
+    /// Checks and sorts the shards. Fails with InvalidMessage where they do not tile the key space,
+    /// two share a name, or one has no replica.
+    static std::optional<ShardMap> build(std::vector<Shard> shards, Reason &reason);
+
+    /// All shards in rising order of their ranges.
+    const std::vector<Shard> &shards() const { return m_shards; }
+    /// The shard that holds `position`; it must lie within the key space.
+    const Shard &shardAt(std::uint64_t position) const;
+
+private:
+    explicit ShardMap(std::vector<Shard> shards);
+
+    std::vector<Shard> m_shards;
+};
+
+} // namespace pimentoward
--- /dev/null
+++ b/standins/PlatformServer.cpp
@@ -0,0 +1,229 @@
+#include "standins/PlatformServer.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cstdlib>
+
+namespace pimentoward::standins {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int statusOk = 200;
+constexpr int statusBadRequest = 400;
+constexpr int statusNotFound = 404;
+constexpr int statusConflict = 409;
+constexpr int statusTooLarge = 413;
+constexpr int statusUnavailable = 503;
+constexpr std::size_t longestValue = 1'048'576; // bytes
+
+HttpServerSettings serverSettings()
+{
+    HttpServerSettings settings;
+    settings.longestBody = longestValue + 1024;
+    settings.idleTimeout = std::chrono::hours(1);
+    return settings;
+}
+
+HttpAnswer textAnswer(int status, const std::string &text)
+{
+    return {status, text, "text/plain", {}};
+}
+
+HttpAnswer valueAnswer(const StoredValue &value)
+{
+    HttpAnswer answer;
+    answer.status = value.revision == 0 ? statusNotFound : statusOk;
+    answer.body = value.value;
+    answer.headers["X-Revision"] = std::to_string(value.revision);
+    return answer;
+}
+
+std::uint64_t number(const std::string &text)
+{
+    return std::strtoull(text.c_str(), nullptr, 10);
+}
+
+} // namespace
+
+PlatformServer::PlatformServer(event_base *loop)
+    : m_loop(loop)
+    , m_http(loop, serverSettings())
+{
+    m_store.onChange([this](const std::string &key) { answerWatches(key); });
+    addRoutes();
+    addControlRoutes();
+}
+
+void PlatformServer::changeMode(PlatformMode mode, std::chrono::milliseconds delay)
+{
+    m_mode = mode;
+    m_delay = delay;
+}
+
+void PlatformServer::addRoutes()
+{
+    m_http.route("GET", "/kv", [this](const HttpRequest &request, const auto &respond) {
+        ++m_reads;
+        serve(respond,
+              [this, key = request.parameter("key")] { return valueAnswer(m_store.read(key)); });
+    });
+    m_http.route("PUT", "/kv", [this](const HttpRequest &request, const auto &respond) {
+        ++m_writes;
+        serve(respond, [this, request] {
+            if (request.body.size() > longestValue) {
+                return textAnswer(statusTooLarge, "a value holds 1 MB at most");
+            }
+            const WriteOutcome outcome = m_store.compareAndSwap(
+                request.parameter("key"), number(request.parameter("expected")), request.body);
+            HttpAnswer answer;
+            answer.status = outcome.status == WriteStatus::Committed ? statusOk : statusConflict;
+            answer.headers["X-Revision"] = std::to_string(outcome.revision);
+            return answer;
+        });
+    });
+    m_http.route("GET", "/keys", [this](const HttpRequest &request, const auto &respond) {
+        ++m_reads;
+        serve(respond, [this, prefix = request.parameter("prefix")] {
+            return HttpAnswer {
+                statusOk, Json(m_store.keysWithPrefix(prefix)).dump(), "application/json", {}};
+        });
+    });
+    m_http.route("GET", "/watch", [this](const HttpRequest &request, const auto &respond) {
+        ++m_watches;
+        watch(request, respond);
+    });
+    m_http.route("GET", "/vms", [this](const HttpRequest &, const auto &respond) {
+        ++m_reads;
+        serve(respond, [this] { return listVms(); });
+    });
+}
+
+void PlatformServer::addControlRoutes()
+{
+    m_http.route("POST", "/control", [this](const HttpRequest &request, const auto &respond) {
+        respond(control(request));
+    });
+    m_http.route("GET", "/stats", [this](const HttpRequest &, const auto &respond) {
+        const Json stats {{"reads", m_reads},
+                          {"writes", m_writes},
+                          {"watches", m_watches},
+                          {"waitingWatches", m_waiting.size()}};
+        respond({statusOk, stats.dump(), "application/json", {}});
+    });
+}
+
+void PlatformServer::serve(const HttpServer::Responder &respond,
+                           const std::function<HttpAnswer()> &work)
+{
+    switch (m_mode) {
+    case PlatformMode::Down:
+        answerLater(respond, textAnswer(statusUnavailable, "the store is down"));
+        return;
+    case PlatformMode::LoseAnswers:
+        work();
+        return;
+    case PlatformMode::Silent:
+        return;
+    case PlatformMode::Up:
+        break;
+    }
+    answerLater(respond, work());
+}
+
+void PlatformServer::answerLater(const HttpServer::Responder &respond, const HttpAnswer &answer)
+{
+    if (m_delay.count() == 0) {
+        respond(answer);
+        return;
+    }
+    auto &timer = m_delayed.emplace_back();
+    const auto place = std::prev(m_delayed.end());
+    timer = std::make_unique<Timer>(m_loop, [this, place, respond, answer] {
+        // The timer owns this hook; it must outlive the answer.
+        const auto self = std::move(*place);
+        m_delayed.erase(place);
+        respond(answer);
+    });
+    timer->startOnce(m_delay);
+}
+
+void PlatformServer::watch(const HttpRequest &request, const HttpServer::Responder &respond)
+{
+    const std::string key = request.parameter("key");
+    const Revision after = number(request.parameter("after"));
+    if (m_mode != PlatformMode::Up || m_store.read(key).revision > after) {
+        serve(respond, [this, key] { return valueAnswer(m_store.read(key)); });
+        return;
+    }
+    Watch &entry = m_waiting.emplace_back();
+    entry.key = key;
+    entry.after = after;
+    entry.respond = respond;
+    const auto place = std::prev(m_waiting.end());
+    entry.timeout = std::make_unique<Timer>(m_loop, [this, place] {
+        const Watch ended = std::move(*place);
+        m_waiting.erase(place);
+        serve(ended.respond, [this, &ended] { return valueAnswer(m_store.read(ended.key)); });
+    });
+    entry.timeout->startOnce(std::chrono::milliseconds(number(request.parameter("waitMs"))));
+}
+
+void PlatformServer::answerWatches(const std::string &key)
+{
+    for (auto entry = m_waiting.begin(); entry != m_waiting.end();) {
+        if (entry->key != key || m_store.read(key).revision <= entry->after) {
+            ++entry;
+            continue;
+        }
+        const Watch ended = std::move(*entry);
+        entry = m_waiting.erase(entry);
+        serve(ended.respond, [this, key] { return valueAnswer(m_store.read(key)); });
+    }
+}
+
+HttpAnswer PlatformServer::listVms() const
+{
+    Json list = Json::array();
+    for (const auto &[id, vm] : m_store.vms()) {
+        list.push_back({{"id", id},
+                        {"host", vm.host},
+                        {"failureDomain", vm.failureDomain},
+                        {"leaving", vm.leaving}});
+    }
+    return {statusOk, list.dump(), "application/json", {}};
+}
+
+HttpAnswer PlatformServer::control(const HttpRequest &request)
+{
+    constexpr bool throwOnError = false;
+    const Json order = Json::parse(request.body, nullptr, throwOnError);
+    static const std::map<std::string, PlatformMode> modes {
+        {"up", PlatformMode::Up},
+        {"down", PlatformMode::Down},
+        {"lose-answers", PlatformMode::LoseAnswers},
+        {"silent", PlatformMode::Silent},
+    };
+    if (!order.is_object()) {
+        return textAnswer(statusBadRequest, "expected a JSON object");
+    }
+    if (const auto mode = modes.find(order.value("mode", "")); mode != modes.end()) {
+        changeMode(mode->second, std::chrono::milliseconds(order.value("delayMs", 0)));
+        return textAnswer(statusOk, "ok");
+    }
+    if (order.contains("putVm")) {
+        const Json &vm = order["putVm"];
+        m_store.putVm({vm.value("id", ""), vm.value("host", ""), vm.value("failureDomain", ""),
+                       vm.value("leaving", false)});
+        return textAnswer(statusOk, "ok");
+    }
+    if (order.contains("removeVm")) {
+        m_store.removeVm(order.value("removeVm", ""));
+        return textAnswer(statusOk, "ok");
+    }
+    return textAnswer(statusBadRequest, "expected 'mode', 'putVm' or 'removeVm'");
+}
+
+} // namespace pimentoward::standins
--- /dev/null
+++ b/tests/Process/WholePathTest.cpp
@@ -0,0 +1,68 @@
+#include "tests/support/TestDeployment.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+using namespace pimentoward;
+
+namespace {
+
+using Json = nlohmann::json;
+
+std::vector<std::string> sortedIds(const Json &records)
+{
+    std::vector<std::string> ids;
+    for (const Json &record : records) {
+        ids.push_back(record.at("id").get<std::string>());
+    }
+    std::sort(ids.begin(), ids.end());
+    return ids;
+}
+
+std::vector<std::string> scannedIds(const standins::ServiceShape &shape, const Json &body)
+{
+    const auto set = standins::RecordSet::ofKind(shape.recordKind, shape.seed, shape.records);
+    return sortedIds(set.scan(body, {0, KeyRange::keySpaceSize}, 1));
+}
+
+} // namespace
+
+TEST_CASE("A query at any VM equals the plain scan", "[task]")
+{
+    tests::TestDeployment deployment(3);
+    REQUIRE(deployment.waitUntilReady());
+    for (std::size_t vm = 0; vm < 3; ++vm) {
+        const std::string child = "child-00010" + std::to_string(vm);
+        const Json lookup {{"service", "coach-app"}, {"key", child}, {"deadlineMs", 20000}};
+        const Json answer = Json::parse(deployment.query(vm, lookup.dump()).body);
+        CHECK(answer.at("code") == 0);
+        CHECK(sortedIds(answer.at("records")) == scannedIds(deployment.shape(), {{"key", child}}));
+
+        const Json search {{"service", "coach-app"},
+                           {"field", "badge"},
+                           {"value", "Otter"},
+                           {"deadlineMs", 20000}};
+        const Json found = Json::parse(deployment.query(vm, search.dump()).body);
+        CHECK(found.at("coverage") == 1.0);
+        CHECK(sortedIds(found.at("records"))
+              == scannedIds(deployment.shape(), {{"field", "badge"}, {"value", "Otter"}}));
+    }
+}
+
+TEST_CASE("A bad query gets a numbered refusal", "[task]")
+{
+    tests::TestDeployment deployment(1);
+    REQUIRE(deployment.waitUntilReady());
+    const auto codeOf = [&](const std::string &body) {
+        return Json::parse(deployment.query(0, body).body).at("code").get<int>();
+    };
+    CHECK(codeOf("{") == static_cast<int>(ResultCode::MalformedRequest));
+    CHECK(codeOf("[1]") == static_cast<int>(ResultCode::MalformedRequest));
+    CHECK(codeOf("{\"service\":\"coach-app\"}") == static_cast<int>(ResultCode::MissingField));
+    CHECK(codeOf(R"({"service":"none","key":"k"})")
+          == static_cast<int>(ResultCode::UnknownService));
+    CHECK(codeOf(R"({"service":"coach-app","key":"k","deadlineMs":-1})")
+          == static_cast<int>(ResultCode::InvalidDeadline));
+}
--- /dev/null
+++ b/tests/Request/ScatterGatherTest.cpp
@@ -0,0 +1,109 @@
+#include "Pimentoward/Request/ScatterGather.h"
+#include "tests/support/QueryPlans.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <random>
+
+using namespace pimentoward;
+
+namespace {
+
+const SteadyTime startTime {std::chrono::hours(1)};
+const SteadyTime deadline = startTime + std::chrono::seconds(1);
+
+Subreply replyTo(const SubrequestItem &item, const std::string &body)
+{
+    Subreply reply;
+    reply.requestId = "request";
+    reply.number = item.number;
+    reply.shard = item.shard;
+    reply.backendServer = item.backendServer;
+    reply.version = 7;
+    reply.body = body;
+    return reply;
+}
+
+std::vector<SubrequestItem> sentItems(const ScatterGather::Actions &actions)
+{
+    std::vector<SubrequestItem> items;
+    for (const auto &action : actions) {
+        if (const auto *send = std::get_if<ScatterGather::Send>(&action)) {
+            items.push_back(send->item);
+        }
+    }
+    return items;
+}
+
+std::optional<QueryAnswer> answerIn(const ScatterGather::Actions &actions)
+{
+    for (const auto &action : actions) {
+        if (const auto *finish = std::get_if<ScatterGather::Finish>(&action)) {
+            return finish->answer;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+TEST_CASE("Late, crossed and doubled replies give each shard's records once")
+{
+    constexpr unsigned seeds = 200;
+    for (unsigned seed = 0; seed < seeds; ++seed) {
+        CAPTURE(seed);
+        std::mt19937 random(seed);
+        ScatterGather gather(tests::makePlan(5, deadline));
+        std::vector<Subreply> replies;
+        for (const SubrequestItem &item : sentItems(gather.start(startTime))) {
+            const Subreply reply = replyTo(item, "[\"" + item.shard + "\"]");
+            replies.push_back(reply);
+            replies.push_back(reply);
+            Subreply crossed = reply;
+            crossed.requestId = "another";
+            replies.push_back(crossed);
+            Subreply wrongShard = reply;
+            wrongShard.shard = "s9";
+            replies.push_back(wrongShard);
+        }
+        std::shuffle(replies.begin(), replies.end(), random);
+        std::optional<QueryAnswer> answer;
+        for (const Subreply &reply : replies) {
+            if (auto found = answerIn(gather.onSubreply(reply, startTime))) {
+                REQUIRE_FALSE(answer);
+                answer = found;
+            }
+        }
+        REQUIRE(answer);
+        CHECK(answer->coverage == 1.0);
+        const std::vector<std::string> expected {"[\"s0\"]", "[\"s1\"]", "[\"s2\"]", "[\"s3\"]",
+                                                 "[\"s4\"]"};
+        CHECK(answer->recordArrays == expected);
+    }
+}
+
+TEST_CASE("A reply of another version or a cut body is not merged")
+{
+    ScatterGather gather(tests::makePlan(1, deadline));
+    const auto items = sentItems(gather.start(startTime));
+    Subreply otherVersion = replyTo(items.front(), "[1]");
+    otherVersion.version = 6;
+    CHECK(gather.onSubreply(otherVersion, startTime).empty());
+    CHECK(gather.onSubreply(replyTo(items.front(), "[1,2"), startTime).empty());
+    CHECK(gather.discardedReplies() == 2);
+    CHECK_FALSE(gather.isFinished());
+}
+
+TEST_CASE("At the deadline the answer names the missing shards and states the coverage")
+{
+    ScatterGather gather(tests::makePlan(4, deadline));
+    const auto items = sentItems(gather.start(startTime));
+    gather.onSubreply(replyTo(items[0], "[]"), startTime);
+    gather.onSubreply(replyTo(items[2], "[]"), startTime);
+    const auto answer = answerIn(gather.onTimer(deadline));
+    REQUIRE(answer);
+    CHECK(answer->coverage == 0.5);
+    CHECK(answer->missingShards == std::vector<ShardName> {"s1", "s3"});
+    CHECK(answer->outcome.code == ResultCode::PartialCoverage);
+}
--- /dev/null
+++ b/tests/support/VirtualClock.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "Pimentoward/Core/Clock.h"
+
+namespace pimentoward::tests {
+
+/// A clock that moves only when told.
+class VirtualClock final : public Clock
+{
+public:
+    SteadyTime now() const override { return m_now; }
+    WallTime wallNow() const override { return WallTime(std::chrono::hours(1)) + m_passed; }
+    void advance(Duration step)
+    {
+        m_now += step;
+        m_passed += std::chrono::duration_cast<WallTime::duration>(step);
+    }
+
+private:
+    SteadyTime m_now {std::chrono::hours(1)};
+    WallTime::duration m_passed {0};
+};
+
+} // namespace pimentoward::tests
