Initialise websocketpp's byte order test before tasks start links

Cause: ThreadSanitizer reported a race on a static variable that websocketpp's _htonll fills at first use, written by two query tasks that opened links at the same time. Change: it is filled once, under C++'s guard for static locals. Ruled out: a suppression, which would also hide races of our own in that header.

--- a/src/Pimentoward/Connection/PeerLink.cpp
+++ b/src/Pimentoward/Connection/PeerLink.cpp
@@ -17,6 +17,14 @@
 using ServerEndpoint = websocketpp::server<websocketpp::config::core>;
 using ClientEndpoint = websocketpp::client<websocketpp::config::core_client>;
 
+/// websocketpp fills a static variable at its first use of this function; doing it once here keeps
+/// tasks that start links at the same time from racing for it.
+void initialiseByteOrderOnce()
+{
+    static const std::uint64_t initialised = websocketpp::lib::net::_htonll(1);
+    static_cast<void>(initialised);
+}
+
 /// What accepted and dialled links share; they differ in websocketpp's endpoint type.
 template <typename Endpoint>
 class WebSocketLink final : public PeerLink
@@ -29,6 +37,7 @@
         : m_stream(stream)
         , m_hooks(std::move(hooks))
     {
+        initialiseByteOrderOnce();
         m_endpoint.clear_access_channels(websocketpp::log::alevel::all);
         m_endpoint.clear_error_channels(websocketpp::log::elevel::all);
         m_endpoint.set_max_message_size(longestPeerMessage);
