Run orders at most once: claims by group commit in the platform's store

Cause: POST /order was missing; a request that may not be repeated had no fence. Change: Order (decisions of one order), ClaimBucket (group commit, compare-and-swap as the fence, unsure writes read back by token, releases, expiry), ClaimStore (paced store calls), messages, route. Ruled out: store leases for claims (a paused holder still believes in them); waiting with the answer until the outcome is recorded (adds a store round trip to each order). Proof, 400 seeds x 60 orders on 12 keys, two VMs owning the bucket, lost answers, late writes, crashes, freezes, outage: double runs 0, false 'not run' 0. With each mechanism off (claim first, wait for commit, read back, no retry of unknown outcomes) the same search finds double runs.

--- a/apps/pimentod/main.cpp
+++ b/apps/pimentod/main.cpp
@@ -75,6 +75,8 @@
     result.requestPrefix = newRequestPrefix(result.self);
     result.callerListen = settings.address("caller-listen");
     result.peerListen = settings.address("data-listen");
+    result.platform = settings.address("platform");
+    result.storeCallTimeout = settings.milliseconds("store-timeout-ms");
     result.http.longestBody = static_cast<std::size_t>(settings.integer("longest-body"));
     return result;
 }
--- /dev/null
+++ b/src/Pimentoward/Process/ClaimRecord.cpp
@@ -0,0 +1,77 @@
+#include "Pimentoward/Process/ClaimRecord.h"
+
+#include <nlohmann/json.hpp>
+
+namespace pimentoward {
+
+namespace {
+
+using Json = nlohmann::json;
+
+std::int64_t toMilliseconds(WallTime time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch()).count();
+}
+
+} // namespace
+
+std::optional<ClaimRecord> ClaimRecord::decode(const std::string &bytes, Reason &reason)
+{
+    ClaimRecord record;
+    if (bytes.empty()) {
+        return record;
+    }
+    try {
+        const Json root = Json::from_cbor(bytes);
+        for (const auto &[name, item] : root.items()) {
+            ClaimEntry entry;
+            entry.token = item.at(0).get<std::string>();
+            entry.contentHash = item.at(1).get<std::uint64_t>();
+            entry.expiry = WallTime(std::chrono::milliseconds(item.at(2).get<std::int64_t>()));
+            entry.isSettled = item.at(3).get<bool>();
+            entry.code = resultCodeFromNumber(item.at(4).get<std::uint64_t>());
+            entry.body = item.at(5).get<std::string>();
+            record.entries[name] = std::move(entry);
+        }
+        return record;
+    } catch (const Json::exception &error) {
+        reason = {ResultCode::InvalidMessage, std::string("bad claim record: ") + error.what()};
+        return std::nullopt;
+    }
+}
+
+std::string ClaimRecord::encode() const
+{
+    Json json = Json::object();
+    for (const auto &[name, entry] : entries) {
+        json[name] = Json::array({entry.token, entry.contentHash, toMilliseconds(entry.expiry),
+                                  entry.isSettled, static_cast<unsigned>(entry.code), entry.body});
+    }
+    std::string bytes;
+    Json::to_cbor(json, bytes);
+    return bytes;
+}
+
+void ClaimRecord::dropExpired(WallTime limit)
+{
+    for (auto entry = entries.begin(); entry != entries.end();) {
+        entry = entry->second.expiry < limit ? entries.erase(entry) : std::next(entry);
+    }
+}
+
+std::size_t ClaimRecord::sizeBound() const
+{
+    constexpr std::size_t headersAndNumbers = 48; // bytes an entry
+    std::size_t total = headersAndNumbers;
+    for (const auto &[name, entry] : entries) {
+        total += name.size() + entry.token.size() + entry.body.size() + headersAndNumbers;
+    }
+    return total;
+}
+
+std::string ClaimRecord::claimName(const ServiceName &service, const std::string &key)
+{
+    return service + '\n' + key;
+}
+
+} // namespace pimentoward
--- a/src/Pimentoward/Process/QueryTask.cpp
+++ b/src/Pimentoward/Process/QueryTask.cpp
@@ -4,8 +4,11 @@
 #include "Pimentoward/Connection/Owner.h"
 #include "Pimentoward/Connection/PeerHub.h"
 #include "Pimentoward/Core/Log.h"
+#include "Pimentoward/Process/ClaimStore.h"
+#include "Pimentoward/Process/HttpStore.h"
 #include "Pimentoward/Process/Task.h"
 #include "Pimentoward/Request/Coordinator.h"
+#include "Pimentoward/Request/OrderCoordinator.h"
 
 #include <nlohmann/json.hpp>
 
@@ -32,14 +35,27 @@
         , http(task.loop(), s.http)
         , hub(task.loop(), s.self, [this](const std::string &bytes) { onPeerMessage(bytes); })
         , owner(task.loop(), c,
-                [this](const MemberId &to, const Subreply &reply) { sendReply(to, reply); })
+                [this](const MemberId &to, const Subreply &reply) { sendToPeer(to, reply); })
         , coordinator(task.loop(), c, s.self, s.requestPrefix,
                       {[this](const MemberId &to, const SubrequestBatch &batch) {
-                           return sendBatch(to, batch);
+                           return sendToPeer(to, batch);
                        },
                        [this](const MemberId &to, const SubrequestCancel &cancel) {
-                           return sendCancel(to, cancel);
+                           return sendToPeer(to, cancel);
                        }})
+        , store(task.loop(), s.platform, s.storeCallTimeout)
+        , claims(task.loop(), c, store, {},
+                 {[this](const MemberId &to, const ClaimReply &reply) { sendToPeer(to, reply); },
+                  [this](const MemberId &to, const ClaimSettled &settled) {
+                      sendToPeer(to, settled);
+                  }})
+        , orders(task.loop(), c, s.self, s.requestPrefix,
+                 {[this](const MemberId &to, const SubrequestBatch &batch) {
+                      return sendToPeer(to, batch);
+                  },
+                  [this](const MemberId &to, const PeerMessage &message) {
+                      return sendToPeer(to, message);
+                  }})
     {
         addRoutes();
     }
@@ -51,6 +67,9 @@
     PeerHub hub;
     Owner owner;
     Coordinator coordinator;
+    HttpStore store;
+    ClaimStore claims;
+    OrderCoordinator orders;
     std::shared_ptr<const ControlView> view;
     std::uint64_t badMessages = 0;
     log4cplus::Logger log = Log::part("query");
@@ -60,6 +79,9 @@
         http.route("POST", "/query", [this](const HttpRequest &request, const auto &respond) {
             query(request, respond);
         });
+        http.route("POST", "/order", [this](const HttpRequest &request, const auto &respond) {
+            order(request, respond);
+        });
         http.route("GET", "/health/live", [](const HttpRequest &, const auto &respond) {
             respond(textAnswer(statusOk, "live"));
         });
@@ -85,34 +107,31 @@
         });
     }
 
-    bool sendBatch(const MemberId &to, const SubrequestBatch &batch)
+    void order(const HttpRequest &request, const HttpServer::Responder &respond)
     {
-        if (to != settings.self) {
-            return hub.send(to, encodePeerMessage(batch));
+        Reason reason;
+        const auto parsed = OrderRequest::parse(request.body, clock.wallNow(), reason);
+        if (!parsed) {
+            respond(HttpServer::errorAnswer(reason));
+            return;
         }
-        // Posted, so that a refusal cannot come before the coordinator has sent all batches.
-        task.post([this, batch] { owner.take(batch); });
-        return true;
+        orders.order(*parsed, [respond](const OrderAnswer &answer) {
+            const int status = resultCodeInfo(answer.outcome.code).httpStatus;
+            respond({status, answer.toJson(), "application/json", {}});
+        });
     }
 
-    bool sendCancel(const MemberId &to, const SubrequestCancel &cancel)
+    /// False where nothing has left this VM.
+    bool sendToPeer(const MemberId &to, const PeerMessage &message)
     {
         if (to != settings.self) {
-            return hub.send(to, encodePeerMessage(cancel));
+            return hub.send(to, encodePeerMessage(message));
         }
-        task.post([this, cancel] { owner.cancel(cancel); });
+        // Posted, so that an answer never comes before its sender has finished its own turn.
+        task.post([this, message] { handle(message); });
         return true;
     }
 
-    void sendReply(const MemberId &to, const Subreply &reply)
-    {
-        if (to != settings.self) {
-            hub.send(to, encodePeerMessage(reply));
-            return;
-        }
-        task.post([this, reply] { coordinator.onSubreply(reply); });
-    }
-
     void onPeerMessage(const std::string &bytes)
     {
         Reason reason;
@@ -122,12 +141,27 @@
             LOG4CPLUS_WARN(log, "Peer message refused: " << reason.text);
             return;
         }
-        if (const auto *batch = std::get_if<SubrequestBatch>(&*message)) {
+        handle(*message);
+    }
+
+    void handle(const PeerMessage &message)
+    {
+        if (const auto *batch = std::get_if<SubrequestBatch>(&message)) {
             owner.take(*batch);
-        } else if (const auto *cancel = std::get_if<SubrequestCancel>(&*message)) {
+        } else if (const auto *cancel = std::get_if<SubrequestCancel>(&message)) {
             owner.cancel(*cancel);
-        } else if (const auto *reply = std::get_if<Subreply>(&*message)) {
-            coordinator.onSubreply(*reply);
+        } else if (const auto *reply = std::get_if<Subreply>(&message)) {
+            if (!orders.onSubreply(*reply)) {
+                coordinator.onSubreply(*reply);
+            }
+        } else if (const auto *claim = std::get_if<ClaimRequest>(&message)) {
+            claims.claim(*claim);
+        } else if (const auto *claimReply = std::get_if<ClaimReply>(&message)) {
+            orders.onClaimReply(*claimReply);
+        } else if (const auto *settlement = std::get_if<ClaimSettlement>(&message)) {
+            claims.settle(*settlement);
+        } else if (const auto *settled = std::get_if<ClaimSettled>(&message)) {
+            orders.onSettled(*settled);
         }
     }
 
@@ -141,14 +175,15 @@
         hub.updatePeers(peers);
         owner.updateView(view);
         coordinator.updateView(view);
+        orders.updateView(view);
+        claims.changeMembers(view->members.size());
     }
 
     nlohmann::json dump() const
     {
-        return {{"coordinator", coordinator.dump()},
-                {"backendServers", owner.dump()},
-                {"peerBytesSent", hub.bytesSent()},
-                {"peerBytesReceived", hub.bytesReceived()},
+        return {{"coordinator", coordinator.dump()}, {"orders", orders.dump()},
+                {"waitingClaims", claims.waiting()}, {"backendServers", owner.dump()},
+                {"peerBytesSent", hub.bytesSent()},  {"peerBytesReceived", hub.bytesReceived()},
                 {"badPeerMessages", badMessages}};
     }
 };
--- a/src/Pimentoward/Process/QueryTask.h
+++ b/src/Pimentoward/Process/QueryTask.h
@@ -21,6 +21,9 @@
     Address callerListen;
     Address peerListen;
     HttpServerSettings http;
+    /// The store that holds claims of requests that may not be repeated.
+    Address platform;
+    std::chrono::milliseconds storeCallTimeout {1000};
 };
 
 /// The task that serves callers: coordinator, owner, their peer links and backend connections, all
--- a/src/Pimentoward/Request/Messages.cpp
+++ b/src/Pimentoward/Request/Messages.cpp
@@ -8,7 +8,15 @@
 
 using Json = nlohmann::json;
 
-enum class MessageType : int { SubrequestBatch = 1, SubrequestCancel = 2, Subreply = 3 };
+enum class MessageType : int {
+    SubrequestBatch = 1,
+    SubrequestCancel = 2,
+    Subreply = 3,
+    ClaimRequest = 4,
+    ClaimReply = 5,
+    ClaimSettlement = 6,
+    ClaimSettled = 7
+};
 
 constexpr std::size_t mostItems = 4096;
 
@@ -77,6 +85,82 @@
             {"w", reply.load.cold}};
 }
 
+Json toJson(const ClaimRequest &request)
+{
+    const auto expiry
+        = std::chrono::duration_cast<std::chrono::milliseconds>(request.expiry.time_since_epoch());
+    return {{"t", static_cast<int>(MessageType::ClaimRequest)},
+            {"k", request.token},
+            {"o", request.coordinator},
+            {"s", request.service},
+            {"i", request.key},
+            {"h", request.contentHash},
+            {"e", expiry.count()},
+            {"l", request.timeLeft.count()}};
+}
+
+Json toJson(const ClaimReply &reply)
+{
+    return {{"t", static_cast<int>(MessageType::ClaimReply)},
+            {"k", reply.token},
+            {"v", static_cast<unsigned>(reply.verdict)},
+            {"c", static_cast<unsigned>(reply.code)},
+            {"b", binary(reply.body)}};
+}
+
+Json toJson(const ClaimSettlement &settlement)
+{
+    return {{"t", static_cast<int>(MessageType::ClaimSettlement)},
+            {"k", settlement.token},
+            {"o", settlement.coordinator},
+            {"s", settlement.service},
+            {"i", settlement.key},
+            {"r", settlement.ran},
+            {"c", static_cast<unsigned>(settlement.code)},
+            {"b", binary(settlement.body)}};
+}
+
+Json toJson(const ClaimSettled &settled)
+{
+    return {{"t", static_cast<int>(MessageType::ClaimSettled)}, {"k", settled.token}};
+}
+
+ClaimRequest readClaimRequest(const Json &json)
+{
+    ClaimRequest request;
+    request.token = json.at("k").get<std::string>();
+    request.coordinator = json.at("o").get<std::string>();
+    request.service = json.at("s").get<std::string>();
+    request.key = json.at("i").get<std::string>();
+    request.contentHash = json.at("h").get<std::uint64_t>();
+    request.expiry = WallTime(std::chrono::milliseconds(json.at("e").get<std::int64_t>()));
+    request.timeLeft = std::chrono::milliseconds(json.at("l").get<std::int64_t>());
+    return request;
+}
+
+ClaimReply readClaimReply(const Json &json)
+{
+    const auto verdict = json.at("v").get<std::uint64_t>();
+    if (verdict > static_cast<std::uint64_t>(ClaimVerdict::Full)) {
+        throw Json::other_error::create(0, "unknown claim verdict", &json);
+    }
+    return {json.at("k").get<std::string>(), static_cast<ClaimVerdict>(verdict),
+            resultCodeFromNumber(json.at("c").get<std::uint64_t>()), readBinary(json.at("b"))};
+}
+
+ClaimSettlement readClaimSettlement(const Json &json)
+{
+    ClaimSettlement settlement;
+    settlement.token = json.at("k").get<std::string>();
+    settlement.coordinator = json.at("o").get<std::string>();
+    settlement.service = json.at("s").get<std::string>();
+    settlement.key = json.at("i").get<std::string>();
+    settlement.ran = json.at("r").get<bool>();
+    settlement.code = resultCodeFromNumber(json.at("c").get<std::uint64_t>());
+    settlement.body = readBinary(json.at("b"));
+    return settlement;
+}
+
 SubrequestBatch readBatch(const Json &json)
 {
     SubrequestBatch batch;
@@ -132,6 +216,14 @@
         return readCancel(json);
     case MessageType::Subreply:
         return readSubreply(json);
+    case MessageType::ClaimRequest:
+        return readClaimRequest(json);
+    case MessageType::ClaimReply:
+        return readClaimReply(json);
+    case MessageType::ClaimSettlement:
+        return readClaimSettlement(json);
+    case MessageType::ClaimSettled:
+        return ClaimSettled {json.at("k").get<std::string>()};
     }
     throw Json::other_error::create(0, "unknown message type", &json);
 }
--- a/src/Pimentoward/Request/Messages.h
+++ b/src/Pimentoward/Request/Messages.h
@@ -2,6 +2,7 @@
 
 #include "Pimentoward/Core/Reason.h"
 #include "Pimentoward/Core/Types.h"
+#include "Pimentoward/Process/ClaimMessages.h"
 #include "Pimentoward/Request/RequestClass.h"
 
 #include <chrono>
@@ -76,7 +77,8 @@
 };
 
 /// A message between the query tasks of two VMs.
-using PeerMessage = std::variant<SubrequestBatch, SubrequestCancel, Subreply>;
+using PeerMessage = std::variant<SubrequestBatch, SubrequestCancel, Subreply, ClaimRequest,
+                                 ClaimReply, ClaimSettlement, ClaimSettled>;
 
 /// Encodes a message as CBOR.
 std::string encodePeerMessage(const PeerMessage &message);
--- /dev/null
+++ b/src/Pimentoward/Request/OrderCoordinator.cpp
@@ -0,0 +1,286 @@
+#include "Pimentoward/Request/OrderCoordinator.h"
+
+#include "Pimentoward/Process/ClaimStore.h"
+#include "Pimentoward/Process/OperatorSettings.h"
+#include "Pimentoward/Process/RendezvousHash.h"
+#include "Pimentoward/Process/Timer.h"
+#include "Pimentoward/Version/SnapshotChooser.h"
+
+#include <nlohmann/json.hpp>
+
+#include <map>
+#include <unordered_map>
+
+namespace pimentoward {
+
+namespace {
+
+constexpr std::chrono::milliseconds timerPeriod {5};
+constexpr std::chrono::seconds settlementRepeat {1};
+/// Time for which late replies and settlements are followed up.
+constexpr std::chrono::minutes followUpTime {2};
+
+} // namespace
+
+struct OrderCoordinator::State
+{
+    /// One order from its arrival until its follow-up time is over.
+    struct RunningOrder
+    {
+        Order order;
+        AnswerHook answer;
+        SteadyTime deadline;
+        bool isAnswered = false;
+    };
+
+    struct OpenSettlement
+    {
+        ClaimSettlement settlement;
+        SteadyTime nextSend;
+        SteadyTime givenUpAt;
+    };
+
+    const Clock *clock = nullptr;
+    MemberId self;
+    std::string requestPrefix;
+    Hooks hooks;
+    std::shared_ptr<const ControlView> view;
+    std::unordered_map<RequestId, RunningOrder> orders;
+    std::map<ClaimToken, OpenSettlement> settlements;
+    std::uint64_t nextRequest = 1;
+    std::uint64_t lostSettlements = 0;
+    std::unique_ptr<Timer> timer;
+
+    MemberId bucketOwner(const ServiceName &service, const std::string &key) const
+    {
+        std::vector<RendezvousHash::Candidate> candidates;
+        for (const auto &[id, member] : view->members) {
+            candidates.push_back({id, member.failureDomain});
+        }
+        const std::string bucket = ClaimStore::bucketName(ClaimStore::bucketOf(service, key));
+        return RendezvousHash::owner(candidates, bucket, {}).value_or(MemberId());
+    }
+
+    std::optional<Reason> refusal(const OrderRequest &request) const
+    {
+        if (view == nullptr || !view->hasContact(clock->now())) {
+            return Reason {ResultCode::NotRunNoContact, {}};
+        }
+        if (view->leaving) {
+            return Reason {ResultCode::NotRunLeaving, {}};
+        }
+        if (view->services.count(request.service) == 0) {
+            return Reason {ResultCode::UnknownService,
+                           "there is no service '" + request.service + "'"};
+        }
+        return std::nullopt;
+    }
+
+    std::optional<OrderPlan> plan(const OrderRequest &request) const
+    {
+        const ServiceCatalog &catalog = *view->services.at(request.service);
+        const IndexVersionEntry *version = SnapshotChooser::choose(catalog, clock->wallNow());
+        if (version == nullptr) {
+            return std::nullopt;
+        }
+        OrderPlan plan;
+        plan.coordinator = self;
+        plan.request = request;
+        plan.shard = version->shards->shardAt(KeyRange::positionOf(request.key));
+        plan.version = version->version;
+        plan.deadline = clock->now()
+            + request.deadline.value_or(
+                view->settings->milliseconds(operator_settings::queryDeadline, request.service));
+        return plan;
+    }
+
+    void apply(const RequestId &id, const Order::Actions &actions)
+    {
+        for (const Order::Action &action : actions) {
+            if (const auto *claim = std::get_if<Order::SendClaim>(&action)) {
+                sendClaim(claim->request);
+            } else if (const auto *send = std::get_if<Order::Send>(&action)) {
+                this->send(id, send->item);
+            } else if (const auto *settle = std::get_if<Order::Settle>(&action)) {
+                const SteadyTime now = clock->now();
+                settlements[settle->settlement.token]
+                    = {settle->settlement, now, now + followUpTime};
+                sendSettlements();
+            } else if (const auto *finish = std::get_if<Order::Finish>(&action)) {
+                RunningOrder &running = orders.at(id);
+                running.isAnswered = true;
+                running.answer(finish->answer);
+                running.answer = nullptr;
+            }
+        }
+    }
+
+    void sendClaim(const ClaimRequest &request)
+    {
+        if (hooks.sendClaimMessage(bucketOwner(request.service, request.key), request)) {
+            return;
+        }
+        // The bucket's owner is out of reach, and so is the claim.
+        ClaimReply reply;
+        reply.token = request.token;
+        onClaimReply(reply);
+    }
+
+    void send(const RequestId &id, const SubrequestItem &item)
+    {
+        const OrderPlan &plan = orders.at(id).order.plan();
+        SubrequestBatch batch;
+        batch.requestId = id;
+        batch.coordinator = self;
+        batch.service = plan.request.service;
+        batch.version = plan.version;
+        batch.requestClass = plan.request.requestClass;
+        batch.timeLeft
+            = std::chrono::duration_cast<std::chrono::milliseconds>(plan.deadline - clock->now());
+        batch.atMostOnce = true;
+        batch.body = plan.request.backendBody();
+        batch.items = {item};
+        const auto owner = view->owners.find(item.backendServer);
+        if (owner != view->owners.end() && hooks.sendBatch(owner->second, batch)) {
+            return;
+        }
+        Subreply reply;
+        reply.requestId = id;
+        reply.number = item.number;
+        reply.shard = item.shard;
+        reply.backendServer = item.backendServer;
+        reply.version = plan.version;
+        reply.code = ResultCode::PeerUnreachable;
+        onSubreply(reply);
+    }
+
+    void sendSettlements()
+    {
+        const SteadyTime now = clock->now();
+        for (auto entry = settlements.begin(); entry != settlements.end();) {
+            OpenSettlement &open = entry->second;
+            if (now >= open.givenUpAt) {
+                ++lostSettlements;
+                entry = settlements.erase(entry);
+                continue;
+            }
+            if (now >= open.nextSend) {
+                open.nextSend = now + settlementRepeat;
+                const ClaimSettlement &settlement = open.settlement;
+                hooks.sendClaimMessage(bucketOwner(settlement.service, settlement.key), settlement);
+            }
+            ++entry;
+        }
+    }
+
+    void onClaimReply(const ClaimReply &reply)
+    {
+        const auto found = orders.find(reply.token);
+        if (found != orders.end()) {
+            apply(reply.token, found->second.order.onClaimReply(reply, clock->now()));
+        }
+    }
+
+    bool onSubreply(const Subreply &reply)
+    {
+        const auto found = orders.find(reply.requestId);
+        if (found == orders.end()) {
+            return false;
+        }
+        apply(reply.requestId, found->second.order.onSubreply(reply, clock->now()));
+        return true;
+    }
+
+    void onTimer()
+    {
+        const SteadyTime now = clock->now();
+        std::vector<RequestId> due;
+        for (auto entry = orders.begin(); entry != orders.end();) {
+            const RunningOrder &running = entry->second;
+            if (running.isAnswered && now >= running.deadline + followUpTime) {
+                entry = orders.erase(entry);
+                continue;
+            }
+            if (!running.isAnswered && now >= running.deadline) {
+                due.push_back(entry->first);
+            }
+            ++entry;
+        }
+        for (const RequestId &id : due) {
+            apply(id, orders.at(id).order.onTimer(now));
+        }
+        sendSettlements();
+    }
+};
+
+OrderCoordinator::OrderCoordinator(event_base *loop, const Clock &clock, MemberId self,
+                                   std::string requestPrefix, Hooks hooks)
+    : m_state(std::make_unique<State>())
+{
+    m_state->clock = &clock;
+    m_state->self = std::move(self);
+    m_state->requestPrefix = std::move(requestPrefix) + "-order";
+    m_state->hooks = std::move(hooks);
+    m_state->timer = std::make_unique<Timer>(loop, [state = m_state.get()] { state->onTimer(); });
+    m_state->timer->startRepeating(timerPeriod);
+}
+
+OrderCoordinator::~OrderCoordinator() = default;
+
+void OrderCoordinator::updateView(std::shared_ptr<const ControlView> view)
+{
+    m_state->view = std::move(view);
+}
+
+void OrderCoordinator::order(const OrderRequest &request, AnswerHook answer)
+{
+    const RequestId id = m_state->requestPrefix + "-" + std::to_string(m_state->nextRequest++);
+    if (const auto refused = m_state->refusal(request)) {
+        answer({id, *refused, {}});
+        return;
+    }
+    auto plan = m_state->plan(request);
+    if (!plan) {
+        answer({id, {ResultCode::NotRunRefusedByBackend, "no index version is released"}, {}});
+        return;
+    }
+    plan->requestId = id;
+    const SteadyTime deadline = plan->deadline;
+    const auto [entry, inserted] = m_state->orders.emplace(
+        id, State::RunningOrder {Order(std::move(*plan), {}), std::move(answer), deadline});
+    m_state->apply(id, entry->second.order.start(m_state->clock->now()));
+}
+
+void OrderCoordinator::onClaimReply(const ClaimReply &reply)
+{
+    m_state->onClaimReply(reply);
+}
+
+void OrderCoordinator::onSettled(const ClaimSettled &settled)
+{
+    m_state->settlements.erase(settled.token);
+}
+
+bool OrderCoordinator::onSubreply(const Subreply &reply)
+{
+    return m_state->onSubreply(reply);
+}
+
+std::size_t OrderCoordinator::running() const
+{
+    std::size_t unanswered = 0;
+    for (const auto &[id, order] : m_state->orders) {
+        unanswered += order.isAnswered ? 0 : 1;
+    }
+    return unanswered + m_state->settlements.size();
+}
+
+nlohmann::json OrderCoordinator::dump() const
+{
+    return {{"running", running()},
+            {"followedUp", m_state->orders.size()},
+            {"openSettlements", m_state->settlements.size()},
+            {"lostSettlements", m_state->lostSettlements}};
+}
+
+} // namespace pimentoward
--- a/tests/Process/WholePathTest.cpp
+++ b/tests/Process/WholePathTest.cpp
@@ -66,3 +66,33 @@
     CHECK(codeOf(R"({"service":"coach-app","key":"k","deadlineMs":-1})")
           == static_cast<int>(ResultCode::InvalidDeadline));
 }
+
+TEST_CASE("An order runs once; its key gives the recorded outcome at every VM", "[task]")
+{
+    tests::TestDeployment deployment(3);
+    REQUIRE(deployment.waitUntilReady());
+    const auto expiry = std::chrono::system_clock::now() + std::chrono::hours(1);
+    Json order {
+        {"service", "coach-app"},
+        {"key", "child-000001"},
+        {"idempotencyKey", "print-1"},
+        {"content", {{"badge", "Otter"}}},
+        {"deadlineMs", 20000},
+        {"expiresAtMs",
+         std::chrono::duration_cast<std::chrono::milliseconds>(expiry.time_since_epoch()).count()}};
+    const auto codeAt = [&](std::size_t vm) {
+        return Json::parse(deployment.order(vm, order.dump()).body).at("code").get<int>();
+    };
+    CHECK(codeAt(0) == static_cast<int>(ResultCode::Ok));
+    // The outcome is recorded soon after the answer; until then the key "may have run".
+    int second = codeAt(1);
+    while (second == static_cast<int>(ResultCode::MayHaveRun)) {
+        second = codeAt(1);
+    }
+    CHECK(second == static_cast<int>(ResultCode::RecordedOutcome));
+    CHECK(codeAt(2) == static_cast<int>(ResultCode::RecordedOutcome));
+    order["content"]["badge"] = "Whale";
+    CHECK(codeAt(1) == static_cast<int>(ResultCode::KeyConflict));
+    order["expiresAtMs"] = 1;
+    CHECK(codeAt(1) == static_cast<int>(ResultCode::KeyExpired));
+}
--- /dev/null
+++ b/tests/Request/OrderTest.cpp
@@ -0,0 +1,99 @@
+#include "Pimentoward/Request/Order.h"
+#include "tests/support/ClaimFake.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace pimentoward;
+
+namespace {
+
+constexpr unsigned seeds = 400;
+constexpr unsigned ordersPerRun = 60;
+
+/// What the checkers found over all seeds.
+struct Findings
+{
+    unsigned doubleRuns = 0;
+    unsigned falseNotRun = 0;
+    unsigned unansweredWithoutCrash = 0;
+    unsigned succeeded = 0;
+    unsigned writes = 0;
+    unsigned firstBadSeed = seeds;
+};
+
+Findings search(const tests::ClaimFake::Settings &settings)
+{
+    Findings findings;
+    for (unsigned seed = 0; seed < seeds; ++seed) {
+        tests::ClaimFake fake(settings, seed);
+        fake.run(ordersPerRun);
+        const unsigned before = findings.doubleRuns + findings.falseNotRun;
+        for (const auto &[key, runs] : fake.runsByKey()) {
+            findings.doubleRuns += runs > 1 ? 1 : 0;
+        }
+        for (const auto &told : fake.told()) {
+            const bool ran = fake.runsByRequest().count(told.requestId) > 0;
+            findings.falseNotRun += promisesNotRun(told.outcome.code) && ran ? 1 : 0;
+            findings.succeeded += told.outcome.code == ResultCode::Ok ? 1 : 0;
+        }
+        findings.unansweredWithoutCrash += fake.unanswered() > fake.crashed() ? 1 : 0;
+        findings.writes += fake.storeWrites();
+        if (findings.doubleRuns + findings.falseNotRun > before) {
+            findings.firstBadSeed = std::min(findings.firstBadSeed, seed);
+        }
+    }
+    return findings;
+}
+
+} // namespace
+
+TEST_CASE("An idempotency key runs at most once and 'not run' is true")
+{
+    const Findings findings = search({});
+    CAPTURE(findings.firstBadSeed, findings.succeeded, findings.writes);
+    CHECK(findings.doubleRuns == 0);
+    CHECK(findings.falseNotRun == 0);
+    CHECK(findings.unansweredWithoutCrash == 0);
+    // The search means nothing unless orders do succeed.
+    CHECK(findings.succeeded > seeds);
+}
+
+TEST_CASE("Without a claim before dispatch the checker finds double runs")
+{
+    tests::ClaimFake::Settings settings;
+    settings.order.claimFirst = false;
+    CHECK(search(settings).doubleRuns > 0);
+}
+
+TEST_CASE("With a grant before the commit the checker finds double runs")
+{
+    tests::ClaimFake::Settings settings;
+    settings.bucket.waitForCommit = false;
+    CHECK(search(settings).doubleRuns > 0);
+}
+
+TEST_CASE("Without reading unsure writes back the checker finds double runs")
+{
+    tests::ClaimFake::Settings settings;
+    settings.bucket.readBackUnsure = false;
+    CHECK(search(settings).doubleRuns > 0);
+}
+
+TEST_CASE("With retries of unknown outcomes the checker finds double runs")
+{
+    tests::ClaimFake::Settings settings;
+    settings.order.onlyRetryNotRun = false;
+    CHECK(search(settings).doubleRuns > 0);
+}
+
+TEST_CASE("Group commit needs fewer writes for the same orders")
+{
+    tests::ClaimFake::Settings single;
+    single.bucket.groupCommit = false;
+    const Findings together = search({});
+    const Findings oneByOne = search(single);
+    CHECK(oneByOne.doubleRuns == 0);
+    CHECK(oneByOne.writes > together.writes);
+}
--- a/tests/support/TestDeployment.cpp
+++ b/tests/support/TestDeployment.cpp
@@ -113,6 +113,7 @@
     query.requestPrefix = record.id;
     query.callerListen = vm.callerAddress;
     query.peerListen = {record.host, callerPort + 2};
+    query.platform = {host(platformHost), platformPort};
     vm.query = std::make_unique<QueryTask>(query, m_clock);
     ControlTaskSettings control;
     control.self = {record.id, record.host, record.failureDomain};
@@ -159,6 +160,11 @@
     return call(m_vms[vm].callerAddress, {"POST", "/query", {}, body, std::chrono::seconds(30)});
 }
 
+HttpAnswer TestDeployment::order(std::size_t vm, const std::string &body)
+{
+    return call(m_vms[vm].callerAddress, {"POST", "/order", {}, body, std::chrono::seconds(30)});
+}
+
 bool TestDeployment::waitUntilReady()
 {
     constexpr int statusOk = 200;
--- a/tests/support/TestDeployment.h
+++ b/tests/support/TestDeployment.h
@@ -28,6 +28,7 @@
     /// Sends one HTTP call and waits for its answer.
     HttpAnswer call(const Address &address, const HttpCall &call);
     HttpAnswer query(std::size_t vm, const std::string &body);
+    HttpAnswer order(std::size_t vm, const std::string &body);
     /// Waits until every VM is ready; false where that takes too long.
     bool waitUntilReady();
 
