Decide the phases of a planned stop

Cause: SIGTERM ended the loop at once and cut what ran. Change: Drain (readiness off, leave after the balancer's delay, wait for running work, limit, second signal); the query task counts its running work. main uses it once ownership can be handed over. Ruled out: refusing new requests with readiness off at once; the balancer still sends some then. Conclusion: the decision stands; proof with real processes follows with the handover.

--- /dev/null
+++ b/src/Pimentoward/Process/Drain.cpp
@@ -0,0 +1,61 @@
+#include "Pimentoward/Process/Drain.h"
+
+namespace pimentoward {
+
+Drain::Drain(const Settings &settings)
+    : m_settings(settings)
+{ }
+
+Drain::Actions Drain::onStopSignal(SteadyTime now)
+{
+    if (m_phase == Phase::Exited) {
+        return {};
+    }
+    if (m_phase != Phase::Serving) {
+        return exit();
+    }
+    m_phase = Phase::NotReady;
+    m_started = now;
+    return {TurnReadinessOff {}};
+}
+
+void Drain::onOwnershipReleased()
+{
+    m_isReleased = true;
+    // Work that arrived until now must be counted once more.
+    m_running.reset();
+}
+
+void Drain::onRunning(std::size_t running)
+{
+    if (m_phase == Phase::Leaving && m_isReleased) {
+        m_running = running;
+    }
+}
+
+Drain::Actions Drain::tick(SteadyTime now)
+{
+    if (m_phase == Phase::Serving || m_phase == Phase::Exited) {
+        return {};
+    }
+    if (now - m_started >= m_settings.limit) {
+        return exit();
+    }
+    if (m_phase == Phase::NotReady && now - m_started >= m_settings.readinessDelay) {
+        m_phase = Phase::Leaving;
+        return {Leave {}};
+    }
+    const bool isIdle = !m_settings.waitForRunning || m_running == std::size_t {0};
+    if (m_phase == Phase::Leaving && m_isReleased && isIdle) {
+        return exit();
+    }
+    return {};
+}
+
+Drain::Actions Drain::exit()
+{
+    m_phase = Phase::Exited;
+    return {Exit {m_running.value_or(0)}};
+}
+
+} // namespace pimentoward
--- /dev/null
+++ b/src/Pimentoward/Process/Drain.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "Pimentoward/Core/Types.h"
+
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace pimentoward {
+
+/// Decisions of a planned stop: readiness off, leave the group, let running work end, exit. Does no
+/// input or output.
+class Drain
+{
+public:
+    struct Settings
+    {
+        /// Time for which requests are still taken after readiness is off, so that the balancer
+        /// notices first.
+        std::chrono::milliseconds readinessDelay {2000};
+        /// The process ends after this time, whatever still runs.
+        std::chrono::milliseconds limit {30'000};
+        /// Off in tests only: ends without waiting for running work.
+        bool waitForRunning = true;
+    };
+
+    /// /health/ready answers "not ready" from now on; requests are still taken.
+    struct TurnReadinessOff
+    { };
+    /// Leave the group and hand over all backend servers; new caller requests are refused.
+    struct Leave
+    { };
+    /// End the process; `cut` requests were still running.
+    struct Exit
+    {
+        std::size_t cut = 0;
+    };
+    using Action = std::variant<TurnReadinessOff, Leave, Exit>;
+    using Actions = std::vector<Action>;
+
+    explicit Drain(const Settings &settings);
+
+    /// A stop is asked for; a second time it means "at once".
+    Actions onStopSignal(SteadyTime now);
+    /// All backend servers have other owners.
+    void onOwnershipReleased();
+    /// Work that runs on this VM at present: queries, orders, settlements and subrequests.
+    void onRunning(std::size_t running);
+    /// To be called at least every 100 ms once a stop has been asked for.
+    Actions tick(SteadyTime now);
+    bool isDraining() const { return m_phase != Phase::Serving; }
+
+private:
+    enum class Phase { Serving, NotReady, Leaving, Exited };
+
+    Actions exit();
+
+    Settings m_settings;
+    Phase m_phase = Phase::Serving;
+    SteadyTime m_started {};
+    bool m_isReleased = false;
+    /// Unknown until it was counted after the leave.
+    std::optional<std::size_t> m_running;
+};
+
+} // namespace pimentoward
--- a/src/Pimentoward/Process/QueryTask.cpp
+++ b/src/Pimentoward/Process/QueryTask.cpp
@@ -71,6 +71,7 @@
     ClaimStore claims;
     OrderCoordinator orders;
     std::shared_ptr<const ControlView> view;
+    bool stopping = false;
     std::uint64_t badMessages = 0;
     log4cplus::Logger log = Log::part("query");
 
@@ -86,8 +87,8 @@
             respond(textAnswer(statusOk, "live"));
         });
         http.route("GET", "/health/ready", [this](const HttpRequest &, const auto &respond) {
-            const bool ready = view != nullptr && view->hasContact(clock.now()) && !view->leaving
-                && !view->services.empty();
+            const bool ready = !stopping && view != nullptr && view->hasContact(clock.now())
+                && !view->leaving && !view->services.empty();
             respond(ready ? textAnswer(statusOk, "ready")
                           : textAnswer(statusUnavailable, "not ready"));
         });
@@ -179,6 +180,12 @@
         claims.changeMembers(view->members.size());
     }
 
+    std::size_t running() const
+    {
+        return coordinator.running() + orders.running() + owner.inFlight() + claims.waiting()
+            + http.openRequests();
+    }
+
     nlohmann::json dump() const
     {
         return {{"coordinator", coordinator.dump()}, {"orders", orders.dump()},
@@ -219,6 +226,16 @@
         [state = m_state.get(), view = std::move(view)] { state->updateView(view); });
 }
 
+void QueryTask::postNotReady()
+{
+    m_state->task.post([state = m_state.get()] { state->stopping = true; });
+}
+
+void QueryTask::postRunning(std::function<void(std::size_t)> hook)
+{
+    m_state->task.post([state = m_state.get(), hook = std::move(hook)] { hook(state->running()); });
+}
+
 void QueryTask::postDump(DumpHook hook)
 {
     m_state->task.post([state = m_state.get(), hook = std::move(hook)] { hook(state->dump()); });
--- a/src/Pimentoward/Process/QueryTask.h
+++ b/src/Pimentoward/Process/QueryTask.h
@@ -45,6 +45,11 @@
     void stop();
     /// Hands over a newer view. From any thread.
     void postView(std::shared_ptr<const ControlView> view);
+    /// /health/ready answers "not ready" from now on; requests are still taken. From any thread.
+    void postNotReady();
+    /// Counts the work that runs on this VM and passes it to `hook`, which runs on the task. From
+    /// any thread.
+    void postRunning(std::function<void(std::size_t)> hook);
     /// Collects the state on the task and passes it to `hook`, which runs on the task. From any
     /// thread.
     void postDump(DumpHook hook);
