--- /dev/null
+++ b/examples/call-pacer.cpp
@@ -0,0 +1,21 @@
+#include <Pimentoward/Core/CallPacer.h>
+
+#include <iostream>
+
+/// Embeds one decision class: how many of 1,000 calls in one virtual second a rate of 100 lets
+/// pass.
+int main()
+{
+    constexpr double callsPerSecond = 100;
+    constexpr double burst = 10;
+    pimentoward::CallPacer pacer(callsPerSecond, burst);
+    pimentoward::SteadyTime now {std::chrono::hours(1)};
+    int allowed = 0;
+    for (int call = 0; call < 1000; ++call) {
+        allowed += pacer.tryTake(now) ? 1 : 0;
+        now += std::chrono::milliseconds(1);
+    }
+    std::cout << "allowed " << allowed << " of 1000\n";
+    constexpr int expected = 109;
+    return allowed == expected ? 0 : 1;
+}
