Apply the planning office's schedule by time, whatever the order of its entries

Cause: releases, backend servers' service times and failure domains were not scheduled at all. Change: IndexSchedule, read from the 'schedule' array of a service's store entry; the highest change of each id stands, so that order, repetition and time of arrival do not matter; withdrawn entries set nothing. ServiceCatalog::isReleased and mayTakeNewWork; numbers of the entry are checked for range. Ruled out: a log of entries applied in turn: two VMs that read it at other moments would differ. Conclusion: a window that changes takes a new change number; the same number with other content is refused, and the last good description stays in force.

--- a/src/Pimentoward/Version/ServiceCatalog.cpp
+++ b/src/Pimentoward/Version/ServiceCatalog.cpp
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <limits>
+#include <type_traits>
 
 namespace pimentoward {
 
@@ -10,15 +12,43 @@
 
 using Json = nlohmann::json;
 
+/// A whole number from `lowest` to `highest`; throws what names the field otherwise.
+template <typename Number>
+Number readNumber(const Json &json, const char *name, Number lowest, Number highest)
+{
+    const Json &field = json.at(name);
+    const bool isWhole
+        = field.is_number_unsigned() || (std::is_signed_v<Number> && field.is_number_integer());
+    const bool isInRange
+        = isWhole && field.get<long double>() >= lowest && field.get<long double>() <= highest;
+    if (!isInRange) {
+        throw Json::out_of_range::create(
+            0,
+            std::string("field '") + name + "' must be a whole number from "
+                + std::to_string(lowest) + " to " + std::to_string(highest),
+            &json);
+    }
+    return field.get<Number>();
+}
+
+constexpr std::uint64_t highestNumber = std::numeric_limits<std::int64_t>::max();
+
 BackendServer readBackendServer(const Json &json)
 {
+    constexpr int mostSlots = 100'000;
+    constexpr int mostConnections = 1'000'000;
+    constexpr int highestCost = 600'000; // ms
     BackendServer server;
     server.id = json.at("id").get<std::string>();
-    server.address = {json.at("host").get<std::string>(), json.at("port").get<std::uint16_t>()};
+    server.address
+        = {json.at("host").get<std::string>(), readNumber<std::uint16_t>(json, "port", 1, 65535)};
     server.failureDomain = json.at("failureDomain").get<std::string>();
-    server.slots = json.at("slots").get<int>();
-    server.connections = json.at("connections").get<int>();
-    server.connectionCost = std::chrono::milliseconds(json.value("connectionCostMs", 0));
+    server.slots = readNumber(json, "slots", 1, mostSlots);
+    server.connections = readNumber(json, "connections", 1, mostConnections);
+    if (json.contains("connectionCostMs")) {
+        server.connectionCost
+            = std::chrono::milliseconds(readNumber(json, "connectionCostMs", 0, highestCost));
+    }
     server.leaving = json.value("leaving", false);
     return server;
 }
@@ -35,23 +65,34 @@
             {"leaving", server.leaving}};
 }
 
+WallTime readTime(const Json &json, const char *name)
+{
+    // Nearly 300 years: keeps the conversion to the clock's ticks within 64 bits.
+    constexpr std::int64_t longest = 9'000'000'000'000;
+    return WallTime(std::chrono::milliseconds(readNumber(json, name, -longest, longest)));
+}
+
+std::int64_t writeTime(WallTime time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch()).count();
+}
+
 std::optional<IndexVersionEntry> readVersion(const Json &json, Reason &reason)
 {
     std::vector<Shard> shards;
     for (const Json &item : json.at("shards")) {
-        shards.push_back(
-            {item.at("name").get<std::string>(),
-             {item.at("first").get<std::uint64_t>(), item.at("end").get<std::uint64_t>()},
-             item.at("replicas").get<std::vector<std::string>>()});
+        shards.push_back({item.at("name").get<std::string>(),
+                          {readNumber<std::uint64_t>(item, "first", 0, KeyRange::keySpaceSize),
+                           readNumber<std::uint64_t>(item, "end", 0, KeyRange::keySpaceSize)},
+                          item.at("replicas").get<std::vector<std::string>>()});
     }
     auto map = ShardMap::build(std::move(shards), reason);
     if (!map) {
         return std::nullopt;
     }
     IndexVersionEntry entry;
-    entry.version = json.at("version").get<IndexVersion>();
-    entry.releaseTime
-        = WallTime(std::chrono::milliseconds(json.at("releaseMs").get<std::int64_t>()));
+    entry.version = readNumber<IndexVersion>(json, "version", 0, highestNumber);
+    entry.releaseTime = readTime(json, "releaseMs");
     entry.withdrawn = json.value("withdrawn", false);
     entry.shards = std::make_shared<const ShardMap>(std::move(*map));
     return entry;
@@ -66,14 +107,117 @@
                           {"end", shard.range.end},
                           {"replicas", shard.replicas}});
     }
-    const auto releaseMs = std::chrono::duration_cast<std::chrono::milliseconds>(
-        entry.releaseTime.time_since_epoch());
     return {{"version", entry.version},
-            {"releaseMs", releaseMs.count()},
+            {"releaseMs", writeTime(entry.releaseTime)},
             {"withdrawn", entry.withdrawn},
             {"shards", std::move(shards)}};
 }
 
+/// Names of the kinds of schedule entries, with the field that holds the target.
+struct KindName
+{
+    ScheduleEntry::Kind kind;
+    const char *name;
+};
+
+constexpr KindName kindNames[] = {
+    {ScheduleEntry::Kind::VersionRelease, "version-release"},
+    {ScheduleEntry::Kind::BackendServerInService, "backend-server-in-service"},
+    {ScheduleEntry::Kind::FailureDomainOut, "failure-domain-out"},
+};
+
+ScheduleEntry::Kind readKind(const Json &json)
+{
+    const auto name = json.get<std::string>();
+    for (const KindName &known : kindNames) {
+        if (name == known.name) {
+            return known.kind;
+        }
+    }
+    throw Json::other_error::create(0, "unknown kind of schedule entry '" + name + "'", &json);
+}
+
+const char *kindName(ScheduleEntry::Kind kind)
+{
+    for (const KindName &known : kindNames) {
+        if (kind == known.kind) {
+            return known.name;
+        }
+    }
+    return "";
+}
+
+ScheduleEntry readScheduleEntry(const Json &json)
+{
+    ScheduleEntry entry;
+    entry.id = json.at("id").get<std::string>();
+    if (json.contains("change")) {
+        entry.change = readNumber<std::uint64_t>(json, "change", 0, highestNumber);
+    }
+    entry.kind = readKind(json.at("kind"));
+    entry.target = json.at("target").get<std::string>();
+    entry.from = readTime(json, "fromMs");
+    if (json.contains("untilMs")) {
+        entry.until = readTime(json, "untilMs");
+    }
+    entry.withdrawn = json.value("withdrawn", false);
+    return entry;
+}
+
+Json writeScheduleEntry(const ScheduleEntry &entry)
+{
+    Json json {{"id", entry.id},
+               {"change", entry.change},
+               {"kind", kindName(entry.kind)},
+               {"target", entry.target},
+               {"fromMs", writeTime(entry.from)},
+               {"withdrawn", entry.withdrawn}};
+    if (entry.until) {
+        json["untilMs"] = writeTime(*entry.until);
+    }
+    return json;
+}
+
+bool readSchedule(const Json &root, ServiceCatalog &catalog, Reason &reason)
+{
+    std::vector<ScheduleEntry> entries;
+    if (const auto list = root.find("schedule"); list != root.end()) {
+        for (const Json &item : *list) {
+            entries.push_back(readScheduleEntry(item));
+        }
+    }
+    auto schedule = IndexSchedule::build(entries, reason);
+    if (schedule) {
+        catalog.schedule = std::move(*schedule);
+    }
+    return schedule.has_value();
+}
+
+/// Names and numbers that later code relies on.
+bool isUsable(const ServiceCatalog &catalog, Reason &reason)
+{
+    const auto refuse = [&](const std::string &why) {
+        reason = {ResultCode::InvalidMessage, "the service description is unusable: " + why};
+        return false;
+    };
+    if (catalog.name.empty()) {
+        return refuse("it has no name");
+    }
+    for (const auto &[id, server] : catalog.backendServers) {
+        if (id.empty() || server.failureDomain.empty()) {
+            return refuse("backend server '" + id + "' needs an id and a failure domain");
+        }
+    }
+    const auto &versions = catalog.versions;
+    const auto twice
+        = std::adjacent_find(versions.begin(), versions.end(),
+                             [](const auto &a, const auto &b) { return a.version == b.version; });
+    if (twice != versions.end()) {
+        return refuse("version " + std::to_string(twice->version) + " stands twice");
+    }
+    return true;
+}
+
 bool replicasAreKnown(const ServiceCatalog &catalog, Reason &reason)
 {
     for (const IndexVersionEntry &entry : catalog.versions) {
@@ -101,7 +245,11 @@
         catalog.name = root.at("name").get<std::string>();
         for (const Json &item : root.at("backendServers")) {
             BackendServer server = readBackendServer(item);
-            catalog.backendServers[server.id] = std::move(server);
+            const BackendServerId id = server.id;
+            if (!catalog.backendServers.emplace(id, std::move(server)).second) {
+                reason = {ResultCode::InvalidMessage, "backend server '" + id + "' stands twice"};
+                return std::nullopt;
+            }
         }
         for (const Json &item : root.at("versions")) {
             auto entry = readVersion(item, reason);
@@ -112,7 +260,8 @@
         }
         std::sort(catalog.versions.begin(), catalog.versions.end(),
                   [](const auto &a, const auto &b) { return a.version < b.version; });
-        if (!replicasAreKnown(catalog, reason)) {
+        if (!isUsable(catalog, reason) || !replicasAreKnown(catalog, reason)
+            || !readSchedule(root, catalog, reason)) {
             return std::nullopt;
         }
         return catalog;
@@ -133,9 +282,26 @@
     for (const IndexVersionEntry &entry : versions) {
         entries.push_back(writeVersion(entry));
     }
-    return Json {
-        {"name", name}, {"backendServers", std::move(servers)}, {"versions", std::move(entries)}}
+    Json scheduled = Json::array();
+    for (const ScheduleEntry &entry : schedule.entries()) {
+        scheduled.push_back(writeScheduleEntry(entry));
+    }
+    return Json {{"name", name},
+                 {"backendServers", std::move(servers)},
+                 {"versions", std::move(entries)},
+                 {"schedule", std::move(scheduled)}}
         .dump();
 }
 
+bool ServiceCatalog::isReleased(const IndexVersionEntry &entry, WallTime time) const
+{
+    const auto scheduled = schedule.isReleased(entry.version, time);
+    return !entry.withdrawn && scheduled.value_or(entry.releaseTime <= time);
+}
+
+bool ServiceCatalog::mayTakeNewWork(const BackendServer &server, WallTime time) const
+{
+    return !server.leaving && schedule.mayTakeNewWork(server.id, server.failureDomain, time);
+}
+
 } // namespace pimentoward
--- a/src/Pimentoward/Version/ServiceCatalog.h
+++ b/src/Pimentoward/Version/ServiceCatalog.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Pimentoward/Core/Address.h"
+#include "Pimentoward/Version/IndexSchedule.h"
 #include "Pimentoward/Version/ShardMap.h"
 
 #include <chrono>
@@ -47,6 +48,14 @@
     std::map<BackendServerId, BackendServer> backendServers;
     /// In rising order of version.
     std::vector<IndexVersionEntry> versions;
+    /// Goes before the versions' own release times.
+    IndexSchedule schedule;
+
+    /// True where queries may begin on the version at `time`.
+    bool isReleased(const IndexVersionEntry &entry, WallTime time) const;
+    /// True where neither an announcement nor the schedule keeps new work from the backend server.
+    /// Operators' exceptions come besides: SettingsDocument::isOut().
+    bool mayTakeNewWork(const BackendServer &server, WallTime time) const;
 
     /// Reads the stored JSON text. Fails with InvalidMessage and names what is wrong.
     static std::optional<ServiceCatalog> parse(const std::string &json, Reason &reason);
