Hedge, retry and restart queries within budgets; pin the version that can be served

Cause: a straggler held its query to the deadline, a failed shard tried each replica once, a version that went away left its shards missing, and all queries were scanned each 2 ms. Change: ScatterGather hedges after the learned delay, retries with pauses, answers by a margin before the deadline (new setting answer-margin-ms), restarts on another version when a shard has lost the pinned one, and says 'not run' only where nothing may have run. SnapshotChooser takes the newest released version that is served whole, else the highest coverage. CoordinatorService keeps what is known of one service; the coordinator's timers are ordered. Ruled out: charging a failover from a replica that did nothing to the budget: it is no extra load, and one lost VM of eight would use up 5 % at once. Fresh request ids for a restart: numbers that run on let old replies be told apart by number as well as by version. Conclusion: an error answer carries no records and states coverage 0.

--- a/src/Pimentoward/Process/OperatorSettings.cpp
+++ b/src/Pimentoward/Process/OperatorSettings.cpp
@@ -9,6 +9,9 @@
     static const std::vector<SettingSpec> table {
         {queryDeadline, Kind::Milliseconds, "1000", "Deadline of a query whose caller gives none.",
          1, 600'000, "", false},
+        {answerMargin, Kind::Milliseconds, "5",
+         "Time before the deadline, at most a tenth of it, at which the answer leaves.", 0, 60'000,
+         "", false},
         {partialAnswer, Kind::Choice, answerInTime,
          "Whether a query answers at its deadline with less coverage or fails below the target.", 0,
          0, "time-first,coverage-first", false},
--- a/src/Pimentoward/Process/OperatorSettings.h
+++ b/src/Pimentoward/Process/OperatorSettings.h
@@ -11,6 +11,7 @@
 namespace operator_settings {
 
 inline constexpr const char *queryDeadline = "query-deadline-ms";
+inline constexpr const char *answerMargin = "answer-margin-ms";
 inline constexpr const char *partialAnswer = "partial-answer";
 inline constexpr const char *coverageTarget = "coverage-target-percent";
 inline constexpr const char *hedgeBudget = "hedge-budget-percent";
--- a/src/Pimentoward/Request/Coordinator.cpp
+++ b/src/Pimentoward/Request/Coordinator.cpp
@@ -3,46 +3,73 @@
 #include "Pimentoward/Core/Log.h"
 #include "Pimentoward/Process/OperatorSettings.h"
 #include "Pimentoward/Process/Timer.h"
-#include "Pimentoward/Request/ScatterGather.h"
-#include "Pimentoward/Version/SnapshotChooser.h"
 
 #include <nlohmann/json.hpp>
 
 #include <map>
+#include <set>
 #include <unordered_map>
 
 namespace pimentoward {
 
-namespace {
-
-constexpr std::chrono::milliseconds timerPeriod {2};
-constexpr double percent = 100;
-
-} // namespace
-
 struct Coordinator::State
 {
     /// One query from its arrival to its answer.
     struct RunningQuery
     {
-        CallerRequest request;
+        RunningQuery(const CallerRequest &request, CoordinatorService &owningService,
+                     QueryPlan plan, AnswerHook hook)
+            : service(owningService)
+            , gather(std::move(plan), owningService.environment())
+            , answer(std::move(hook))
+            , body(request.backendBody())
+            , requestClass(request.requestClass)
+        { }
+
+        CoordinatorService &service;
         ScatterGather gather;
         AnswerHook answer;
-        IndexVersion version = 0;
-        SteadyTime deadline;
+        /// The JSON text for every backend server.
+        std::string body;
+        RequestClass requestClass;
+        /// Its entry in `timers`.
+        SteadyTime timerAt {};
+    };
+
+    /// Totals since the start.
+    struct Counters
+    {
+        std::uint64_t queries = 0;
+        std::uint64_t hedges = 0;
+        std::uint64_t retries = 0;
+        std::uint64_t restarts = 0;
+        std::uint64_t lateReplies = 0;
+        std::uint64_t discardedReplies = 0;
     };
 
     const Clock *clock = nullptr;
     MemberId self;
     std::string requestPrefix;
     Hooks hooks;
+    Settings settings;
     std::shared_ptr<const ControlView> view;
+    ReplicaChooser chooser;
+    std::map<ServiceName, std::unique_ptr<CoordinatorService>> services;
     std::unordered_map<RequestId, RunningQuery> queries;
+    /// Running queries by their next timer.
+    std::set<std::pair<SteadyTime, RequestId>> timers;
     std::uint64_t nextRequest = 1;
-    std::uint64_t lateReplies = 0;
+    Counters counters;
     std::unique_ptr<Timer> timer;
+    std::optional<SteadyTime> armedFor;
     log4cplus::Logger log = Log::part("coordinator");
 
+    State(const Clock &c, const Settings &s)
+        : clock(&c)
+        , settings(s)
+        , chooser(s.chooser)
+    { }
+
     RequestId newRequestId() { return requestPrefix + "-" + std::to_string(nextRequest++); }
 
     static void refuse(const RequestId &id, const Reason &reason, const AnswerHook &hook)
@@ -72,29 +99,47 @@
         return std::nullopt;
     }
 
-    QueryPlan plan(const RequestId &id, const CallerRequest &request,
-                   const IndexVersionEntry &version) const
+    void updateView(std::shared_ptr<const ControlView> newView)
     {
-        const SettingsDocument &settings = *view->settings;
-        QueryPlan plan;
-        plan.requestId = id;
-        plan.service = request.service;
-        plan.version = version.version;
-        plan.deadline = clock->now()
-            + request.deadline.value_or(
-                settings.milliseconds(operator_settings::queryDeadline, request.service));
-        plan.coverageFirst = settings.value(operator_settings::partialAnswer, request.service)
-            == operator_settings::answerWhole;
-        plan.coverageTarget
-            = settings.real(operator_settings::coverageTarget, request.service) / percent;
-        if (request.isLookup()) {
-            plan.shards = {version.shards->shardAt(KeyRange::positionOf(request.key))};
-        } else {
-            plan.shards = version.shards->shards();
+        view = std::move(newView);
+        for (const auto &[name, catalog] : view->services) {
+            auto &service = services[name];
+            if (service == nullptr) {
+                service
+                    = std::make_unique<CoordinatorService>(name, settings.service, *clock, chooser);
+            }
+        }
+        const auto member = view->members.find(self);
+        const FailureDomain near
+            = member == view->members.end() ? FailureDomain() : member->second.failureDomain;
+        for (const auto &[name, service] : services) {
+            service->updateView(view, near);
         }
-        return plan;
     }
 
+    void query(const CallerRequest &request, const AnswerHook &answer)
+    {
+        const RequestId id = newRequestId();
+        if (const auto refused = refusal(request)) {
+            refuse(id, *refused, answer);
+            return;
+        }
+        CoordinatorService &service = *services.at(request.service);
+        Reason reason;
+        auto plan = service.plan(id, request, reason);
+        if (!plan) {
+            refuse(id, reason, answer);
+            return;
+        }
+        ++counters.queries;
+        const auto [entry, inserted]
+            = queries.try_emplace(id, request, service, std::move(*plan), answer);
+        const auto actions = entry->second.gather.start(clock->now());
+        apply(id, entry->second, actions);
+        arm();
+    }
+
+    /// Carries actions out; the query may be gone afterwards.
     void apply(const RequestId &id, RunningQuery &query, const ScatterGather::Actions &actions)
     {
         std::map<MemberId, SubrequestBatch> batches;
@@ -102,6 +147,7 @@
         const QueryAnswer *finished = nullptr;
         for (const ScatterGather::Action &action : actions) {
             if (const auto *send = std::get_if<ScatterGather::Send>(&action)) {
+                count(send->purpose);
                 batches[ownerOf(send->item.backendServer)].items.push_back(send->item);
             } else if (const auto *cancel = std::get_if<ScatterGather::Cancel>(&action)) {
                 cancels[ownerOf(cancel->item.backendServer)].numbers.push_back(cancel->item.number);
@@ -114,22 +160,48 @@
             cancel.coordinator = self;
             hooks.sendCancel(owner, cancel);
         }
+        timers.erase({query.timerAt, id});
         if (finished != nullptr) {
-            const AnswerHook answer = std::move(query.answer);
-            queries.erase(id);
-            answer(*finished);
+            answer(id, query, *finished);
             return;
         }
+        query.timerAt = query.gather.nextTimer();
+        timers.insert({query.timerAt, id});
+        sendBatches(id, query, batches);
+    }
+
+    void count(ReplicaChooser::Purpose purpose)
+    {
+        counters.hedges += purpose == ReplicaChooser::Purpose::Hedge ? 1 : 0;
+        counters.retries += purpose == ReplicaChooser::Purpose::Retry ? 1 : 0;
+    }
+
+    void answer(const RequestId &id, RunningQuery &query, const QueryAnswer &finished)
+    {
+        counters.restarts += query.gather.restarts();
+        counters.discardedReplies += query.gather.discardedReplies();
+        const AnswerHook hook = std::move(query.answer);
+        queries.erase(id);
+        hook(finished);
+    }
+
+    void sendBatches(const RequestId &id, const RunningQuery &query,
+                     std::map<MemberId, SubrequestBatch> &batches)
+    {
         std::vector<Subreply> unsent;
         for (auto &[owner, batch] : batches) {
             fillBatch(id, query, batch);
             if (!hooks.sendBatch(owner, batch)) {
                 addUnsent(batch, unsent);
+                continue;
+            }
+            for (const SubrequestItem &item : batch.items) {
+                chooser.onSent(item.backendServer);
             }
         }
         // Only now: such a reply may end the query that is being worked on.
-        for (const Subreply &reply : unsent) {
-            onSubreply(reply);
+        for (Subreply &reply : unsent) {
+            onSubreply(std::move(reply));
         }
     }
 
@@ -141,14 +213,16 @@
 
     void fillBatch(const RequestId &id, const RunningQuery &query, SubrequestBatch &batch) const
     {
+        const QueryPlan &plan = query.gather.plan();
         batch.requestId = id;
         batch.coordinator = self;
-        batch.service = query.request.service;
-        batch.version = query.version;
-        batch.requestClass = query.request.requestClass;
+        batch.service = plan.service;
+        batch.version = plan.version;
+        batch.requestClass = query.requestClass;
+        // What ends after the answer has left is of no use.
         batch.timeLeft
-            = std::chrono::duration_cast<std::chrono::milliseconds>(query.deadline - clock->now());
-        batch.body = query.request.backendBody();
+            = std::chrono::ceil<std::chrono::milliseconds>(plan.answerBy() - clock->now());
+        batch.body = query.body;
     }
 
     /// Replies for a batch that could not leave this VM.
@@ -166,79 +240,104 @@
         }
     }
 
-    void onSubreply(const Subreply &reply)
+    void onSubreply(Subreply reply)
     {
+        const SteadyTime now = clock->now();
+        chooser.onReport(reply.backendServer, reply.load, now);
         const auto found = queries.find(reply.requestId);
         if (found == queries.end()) {
-            ++lateReplies;
+            ++counters.lateReplies;
             return;
         }
         RunningQuery &query = found->second;
         const RequestId id = reply.requestId;
-        apply(id, query, query.gather.onSubreply(reply, clock->now()));
+        query.service.onSubreply(reply);
+        const auto actions = query.gather.onSubreply(std::move(reply), now);
+        apply(id, query, actions);
     }
 
     void onTimer()
     {
         const SteadyTime now = clock->now();
-        std::vector<RequestId> due;
-        for (const auto &[id, query] : queries) {
-            if (query.gather.nextTimer() <= now) {
-                due.push_back(id);
-            }
+        while (!timers.empty() && timers.begin()->first <= now) {
+            const RequestId id = timers.begin()->second;
+            RunningQuery &query = queries.at(id);
+            const auto actions = query.gather.onTimer(now);
+            apply(id, query, actions);
         }
-        for (const RequestId &id : due) {
-            if (const auto found = queries.find(id); found != queries.end()) {
-                apply(id, found->second, found->second.gather.onTimer(now));
-            }
+    }
+
+    /// Sets the loop's timer to the earliest of all queries.
+    void arm()
+    {
+        if (timer == nullptr) {
+            return;
+        }
+        if (timers.empty()) {
+            armedFor.reset();
+            timer->stop();
+            return;
+        }
+        const SteadyTime due = timers.begin()->first;
+        // A timer that runs early costs one idle run; setting it anew each time costs more.
+        if (armedFor && *armedFor <= due) {
+            return;
         }
+        armedFor = due;
+        // Rounded up, so that it does not run just before it is due.
+        timer->startOnce(std::chrono::ceil<std::chrono::microseconds>(due - clock->now()));
     }
 };
 
 Coordinator::Coordinator(event_base *loop, const Clock &clock, MemberId self,
                          std::string requestPrefix, Hooks hooks)
-    : m_state(std::make_unique<State>())
+    : Coordinator(loop, clock, std::move(self), std::move(requestPrefix), std::move(hooks),
+                  Settings())
+{ }
+
+Coordinator::Coordinator(event_base *loop, const Clock &clock, MemberId self,
+                         std::string requestPrefix, Hooks hooks, const Settings &settings)
+    : m_state(std::make_unique<State>(clock, settings))
 {
-    m_state->clock = &clock;
     m_state->self = std::move(self);
     m_state->requestPrefix = std::move(requestPrefix);
     m_state->hooks = std::move(hooks);
-    m_state->timer = std::make_unique<Timer>(loop, [state = m_state.get()] { state->onTimer(); });
-    m_state->timer->startRepeating(timerPeriod);
+    if (loop != nullptr) {
+        m_state->timer = std::make_unique<Timer>(loop, [state = m_state.get()] {
+            state->armedFor.reset();
+            state->onTimer();
+            state->arm();
+        });
+    }
 }
 
 Coordinator::~Coordinator() = default;
 
 void Coordinator::updateView(std::shared_ptr<const ControlView> view)
 {
-    m_state->view = std::move(view);
+    m_state->updateView(std::move(view));
 }
 
 void Coordinator::query(const CallerRequest &request, AnswerHook answer)
 {
-    const RequestId id = m_state->newRequestId();
-    if (const auto refused = m_state->refusal(request)) {
-        State::refuse(id, *refused, answer);
-        return;
-    }
-    const ServiceCatalog &catalog = *m_state->view->services.at(request.service);
-    const IndexVersionEntry *version = SnapshotChooser::choose(catalog, m_state->clock->wallNow());
-    if (version == nullptr) {
-        State::refuse(id, {ResultCode::VersionGone, "no index version is released"}, answer);
-        return;
-    }
-    const QueryPlan plan = m_state->plan(id, request, *version);
-    const auto [entry, inserted] = m_state->queries.emplace(
-        id,
-        State::RunningQuery {request, ScatterGather(plan), std::move(answer), version->version,
-                             plan.deadline});
-    State::RunningQuery &query = entry->second;
-    m_state->apply(id, query, query.gather.start(m_state->clock->now()));
+    m_state->query(request, std::move(answer));
+}
+
+void Coordinator::onSubreply(Subreply reply)
+{
+    m_state->onSubreply(std::move(reply));
+    m_state->arm();
+}
+
+void Coordinator::onTimer()
+{
+    m_state->onTimer();
 }
 
-void Coordinator::onSubreply(const Subreply &reply)
+std::optional<SteadyTime> Coordinator::nextTimer() const
 {
-    m_state->onSubreply(reply);
+    const auto &timers = m_state->timers;
+    return timers.empty() ? std::nullopt : std::optional(timers.begin()->first);
 }
 
 std::size_t Coordinator::running() const
@@ -251,11 +350,19 @@
     nlohmann::json list = nlohmann::json::array();
     for (const auto &[id, query] : m_state->queries) {
         list.push_back({{"requestId", id},
-                        {"service", query.request.service},
-                        {"version", query.version},
-                        {"class", requestClassName(query.request.requestClass)}});
+                        {"service", query.gather.plan().service},
+                        {"version", query.gather.plan().version},
+                        {"class", requestClassName(query.requestClass)}});
+    }
+    nlohmann::json services = nlohmann::json::object();
+    for (const auto &[name, service] : m_state->services) {
+        services[name] = service->dump();
     }
-    return {{"running", std::move(list)}, {"lateReplies", m_state->lateReplies}};
+    const auto &counters = m_state->counters;
+    return {{"running", std::move(list)},          {"services", std::move(services)},
+            {"queries", counters.queries},         {"hedges", counters.hedges},
+            {"retries", counters.retries},         {"restarts", counters.restarts},
+            {"lateReplies", counters.lateReplies}, {"discardedReplies", counters.discardedReplies}};
 }
 
 } // namespace pimentoward
--- a/src/Pimentoward/Request/Coordinator.h
+++ b/src/Pimentoward/Request/Coordinator.h
@@ -3,6 +3,7 @@
 #include "Pimentoward/Core/Clock.h"
 #include "Pimentoward/Process/ControlView.h"
 #include "Pimentoward/Request/CallerRequest.h"
+#include "Pimentoward/Request/CoordinatorService.h"
 #include "Pimentoward/Request/Messages.h"
 #include "Pimentoward/Request/QueryAnswer.h"
 
@@ -28,9 +29,19 @@
         std::function<bool(const MemberId &owner, const SubrequestCancel &)> sendCancel;
     };
 
-    /// `requestPrefix` makes request ids unique over all VMs and restarts.
+    /// Constants, and switches for tests that show what a mechanism prevents.
+    struct Settings
+    {
+        CoordinatorService::Settings service;
+        ReplicaChooser::Settings chooser;
+    };
+
+    /// `requestPrefix` makes request ids unique over all VMs and restarts. Without a `loop`, the
+    /// caller runs onTimer() at nextTimer().
     Coordinator(event_base *loop, const Clock &clock, MemberId self, std::string requestPrefix,
                 Hooks hooks);
+    Coordinator(event_base *loop, const Clock &clock, MemberId self, std::string requestPrefix,
+                Hooks hooks, const Settings &settings);
     ~Coordinator();
     Coordinator(const Coordinator &) = delete;
     Coordinator &operator=(const Coordinator &) = delete;
@@ -39,7 +50,11 @@
     /// Runs a query; the hook gets exactly one answer, possibly before this returns.
     void query(const CallerRequest &request, AnswerHook answer);
     /// Takes an owner's reply.
-    void onSubreply(const Subreply &reply);
+    void onSubreply(Subreply reply);
+    /// Runs what is due: hedges, retries, answers at their deadlines.
+    void onTimer();
+    /// When onTimer() is next due; nothing while no query runs.
+    std::optional<SteadyTime> nextTimer() const;
     /// Queries that have no answer yet.
     std::size_t running() const;
     /// Running queries and counters, for the dump.
--- a/src/Pimentoward/Request/ScatterGather.cpp
+++ b/src/Pimentoward/Request/ScatterGather.cpp
@@ -7,93 +7,256 @@
 
 namespace pimentoward {
 
-ScatterGather::ScatterGather(QueryPlan plan)
+namespace {
+
+/// Rounds after which a time-first query gives a shard up; a coverage-first one tries on.
+constexpr unsigned mostAttempts = 6;
+constexpr unsigned mostRestarts = 3;
+
+/// True where nothing reached a backend server, or it said that it has done nothing: sending to
+/// another replica is no extra load then.
+bool provesNotRun(ResultCode code)
+{
+    return promisesNotRun(code) || code == ResultCode::PeerUnreachable
+        || code == ResultCode::VersionGone;
+}
+
+} // namespace
+
+ScatterGather::ScatterGather(QueryPlan plan, const Environment &environment)
     : m_plan(std::move(plan))
+    , m_environment(environment)
     , m_shards(m_plan.shards.size())
+    , m_nextTimer(m_plan.answerBy())
 { }
 
-ScatterGather::Actions ScatterGather::start(SteadyTime)
+ScatterGather::Actions ScatterGather::start(SteadyTime now)
 {
     Actions actions;
     for (std::size_t index = 0; index < m_shards.size(); ++index) {
-        if (const auto item = nextReplica(index)) {
-            actions.push_back(Send {*item});
-        }
+        m_environment.policy.addPrimary(now);
     }
-    return allSettled() ? finish() : actions;
+    sendPrimaries(now, actions);
+    return conclude(std::move(actions), now);
 }
 
-ScatterGather::Actions ScatterGather::onSubreply(const Subreply &reply, SteadyTime now)
+ScatterGather::Actions ScatterGather::onSubreply(Subreply reply, SteadyTime now)
 {
-    const auto index = shardOf(reply);
-    if (m_finished || !index || !isWellFormed(reply)) {
+    const auto index = m_finished ? std::nullopt : shardOf(reply);
+    if (!index || !isWellFormed(reply)) {
         ++m_discarded;
         return {};
     }
-    ShardState &shard = m_shards[*index];
-    auto &inFlight = shard.inFlight;
-    inFlight.erase(std::remove_if(inFlight.begin(), inFlight.end(),
-                                  [&](const auto &item) { return item.number == reply.number; }),
-                   inFlight.end());
+    ShardState &state = m_shards[*index];
+    const auto flight
+        = std::find_if(state.inFlight.begin(), state.inFlight.end(),
+                       [&](const Flight &f) { return f.item.number == reply.number; });
+    if (flight != state.inFlight.end()) {
+        if (reply.code == ResultCode::Ok) {
+            m_environment.policy.addLatency(now - flight->sentAt);
+        }
+        state.inFlight.erase(flight);
+    }
+    m_mayHaveRun = m_mayHaveRun || !provesNotRun(reply.code);
     Actions actions;
     if (reply.code == ResultCode::Ok) {
-        shard.answered = true;
-        shard.body = reply.body;
-        // Other replicas still at work for this shard are no longer needed.
-        for (const SubrequestItem &item : inFlight) {
-            actions.push_back(Cancel {item});
-        }
-        inFlight.clear();
+        onAnswered(state, std::move(reply.body), now, actions);
     } else {
-        shard.lastFailure = {reply.code, reply.detail};
-        // A failed shard tries its next replica while there is time.
-        if (const auto item = now < m_plan.deadline ? nextReplica(*index) : std::nullopt) {
-            actions.push_back(Send {*item});
+        onFailed(*index, reply, now, actions);
+    }
+    return conclude(std::move(actions), now);
+}
+
+ScatterGather::Actions ScatterGather::onTimer(SteadyTime now)
+{
+    if (m_finished) {
+        return {};
+    }
+    Actions actions;
+    if (now >= m_plan.answerBy() && m_environment.checks.deadline) {
+        finish(now, actions);
+        return actions;
+    }
+    for (std::size_t index = 0; index < m_shards.size(); ++index) {
+        ShardState &state = m_shards[index];
+        if (state.hedgeAt && *state.hedgeAt <= now) {
+            hedge(index, now, actions);
+        }
+        if (state.retryAt && *state.retryAt <= now) {
+            state.retryAt.reset();
+            state.failedOn.clear();
+            retry(index, now, actions);
         }
     }
-    if (allSettled()) {
-        for (Action &action : finish()) {
-            actions.push_back(std::move(action));
+    return conclude(std::move(actions), now);
+}
+
+void ScatterGather::sendPrimaries(SteadyTime now, Actions &actions)
+{
+    for (std::size_t index = 0; index < m_shards.size(); ++index) {
+        ShardState &state = m_shards[index];
+        const Shard &shard = m_plan.shards[index];
+        if (const auto to = m_environment.choose(shard, {}, Purpose::Primary, now)) {
+            send(index, *to, Purpose::Primary, now, actions);
+        } else {
+            state.lastFailure = {ResultCode::NotRunLeaving, "no replica may take new work"};
+            retryLater(state, now);
         }
     }
-    return actions;
 }
 
-ScatterGather::Actions ScatterGather::onTimer(SteadyTime now)
+void ScatterGather::send(std::size_t index, const BackendServerId &to, Purpose purpose,
+                         SteadyTime now, Actions &actions)
 {
-    if (m_finished || now < m_plan.deadline) {
-        return {};
+    ShardState &state = m_shards[index];
+    const SubrequestItem item {m_nextNumber++, m_plan.shards[index].name, to};
+    m_shardOfNumber.push_back(index);
+    state.inFlight.push_back({item, now});
+    state.hedgeAt.reset();
+    const auto delay = m_environment.policy.hedgeDelay();
+    if (purpose != Purpose::Hedge && delay && m_plan.isRepeatable) {
+        state.hedgeAt = now + *delay;
     }
-    return finish();
+    actions.push_back(Send {item, purpose});
 }
 
-std::optional<SubrequestItem> ScatterGather::nextReplica(std::size_t shardIndex)
+void ScatterGather::hedge(std::size_t index, SteadyTime now, Actions &actions)
 {
-    ShardState &state = m_shards[shardIndex];
-    const Shard &shard = m_plan.shards[shardIndex];
-    if (state.replicasTried >= shard.replicas.size()) {
-        return std::nullopt;
+    ShardState &state = m_shards[index];
+    state.hedgeAt.reset();
+    if (state.answered || state.inFlight.size() != 1) {
+        return;
+    }
+    std::vector<BackendServerId> avoid = state.failedOn;
+    avoid.insert(avoid.end(), state.goneOn.begin(), state.goneOn.end());
+    avoid.push_back(state.inFlight.front().item.backendServer);
+    const auto to = m_environment.choose(m_plan.shards[index], avoid, Purpose::Hedge, now);
+    if (to && m_environment.policy.takeHedge(now)) {
+        send(index, *to, Purpose::Hedge, now, actions);
+        return;
+    }
+    // Asked again soon: a straggler then still waits, while most others have ended.
+    state.hedgeAt = now + m_environment.policy.hedgeAskAgain();
+}
+
+void ScatterGather::retry(std::size_t index, SteadyTime now, Actions &actions)
+{
+    ShardState &state = m_shards[index];
+    std::vector<BackendServerId> avoid = state.failedOn;
+    avoid.insert(avoid.end(), state.goneOn.begin(), state.goneOn.end());
+    const auto to = m_environment.choose(m_plan.shards[index], avoid, Purpose::Retry, now);
+    // In the first round, failing over from a replica that did nothing is free: it is no extra
+    // load, and a shard has few replicas.
+    const bool isFree = state.attempts == 0 && provesNotRun(state.lastFailure.code);
+    if (to && (isFree || m_environment.policy.takeRetry(now))) {
+        send(index, *to, Purpose::Retry, now, actions);
+        return;
+    }
+    if (!to && !state.goneOn.empty() && isVersionLost(index, now)) {
+        onVersionLost(index, now, actions);
+        return;
+    }
+    retryLater(state, now);
+}
+
+bool ScatterGather::isVersionLost(std::size_t index, SteadyTime now) const
+{
+    const auto &goneOn = m_shards[index].goneOn;
+    return !m_environment.choose(m_plan.shards[index], goneOn, Purpose::Retry, now);
+}
+
+void ScatterGather::retryLater(ShardState &state, SteadyTime now)
+{
+    ++state.attempts;
+    if (!m_plan.coverageFirst && state.attempts >= mostAttempts) {
+        state.givenUp = true;
+        return;
+    }
+    state.retryAt = now + m_environment.policy.retryPause(state.attempts);
+}
+
+void ScatterGather::onAnswered(ShardState &state, std::string body, SteadyTime now,
+                               Actions &actions)
+{
+    state.answered = true;
+    state.body = std::move(body);
+    state.retryAt.reset();
+    // Other replicas still at work for this shard are no longer needed.
+    cancelAll(state, now, actions);
+}
+
+void ScatterGather::onFailed(std::size_t index, const Subreply &reply, SteadyTime now,
+                             Actions &actions)
+{
+    ShardState &state = m_shards[index];
+    state.lastFailure = {reply.code, reply.detail};
+    auto &failed = reply.code == ResultCode::VersionGone ? state.goneOn : state.failedOn;
+    failed.push_back(reply.backendServer);
+    if (!state.inFlight.empty()) {
+        return;
+    }
+    state.hedgeAt.reset();
+    if (!m_plan.isRepeatable && !provesNotRun(reply.code)) {
+        state.givenUp = true;
+    } else {
+        retry(index, now, actions);
+    }
+}
+
+void ScatterGather::onVersionLost(std::size_t index, SteadyTime now, Actions &actions)
+{
+    m_shards[index].givenUp = true;
+    const bool mayRestart
+        = m_restarts < mostRestarts && m_plan.isRepeatable && m_environment.otherVersion;
+    std::optional<QueryPlan> other = mayRestart ? m_environment.otherVersion(m_plan) : std::nullopt;
+    if (!other) {
+        return;
     }
-    SubrequestItem item {m_nextNumber++, shard.name, shard.replicas[state.replicasTried]};
-    ++state.replicasTried;
-    state.inFlight.push_back(item);
-    return item;
+    // Nothing of the lost version enters the answer: all states begin anew, and the numbers of
+    // the subrequests so far name no shard any more.
+    for (ShardState &state : m_shards) {
+        cancelAll(state, now, actions);
+    }
+    ++m_restarts;
+    m_plan = std::move(*other);
+    m_shards.clear();
+    m_shards.resize(m_plan.shards.size());
+    m_shardOfNumber.clear();
+    m_firstNumber = m_nextNumber;
+    sendPrimaries(now, actions);
+}
+
+void ScatterGather::cancelAll(ShardState &state, SteadyTime now, Actions &actions)
+{
+    for (const Flight &flight : state.inFlight) {
+        m_environment.policy.addLatency(now - flight.sentAt);
+        m_mayHaveRun = true;
+        actions.push_back(Cancel {flight.item});
+    }
+    state.inFlight.clear();
+    state.hedgeAt.reset();
 }
 
 std::optional<std::size_t> ScatterGather::shardOf(const Subreply &reply) const
 {
-    if (reply.requestId != m_plan.requestId) {
-        return std::nullopt;
+    if (!m_environment.checks.identity) {
+        const auto shard = std::find_if(m_plan.shards.begin(), m_plan.shards.end(),
+                                        [&](const Shard &s) { return s.name == reply.shard; });
+        return shard == m_plan.shards.end() ? std::nullopt
+                                            : std::optional(shard - m_plan.shards.begin());
     }
-    for (std::size_t index = 0; index < m_shards.size(); ++index) {
-        for (const SubrequestItem &item : m_shards[index].inFlight) {
-            if (item.number == reply.number && item.shard == reply.shard
-                && item.backendServer == reply.backendServer) {
-                return index;
-            }
-        }
+    const bool isOurs = reply.requestId == m_plan.requestId && reply.number >= m_firstNumber
+        && reply.number < m_nextNumber;
+    if (!isOurs) {
+        return std::nullopt;
     }
-    return std::nullopt;
+    const std::size_t index = m_shardOfNumber[reply.number - m_firstNumber];
+    const auto &inFlight = m_shards[index].inFlight;
+    const bool isRunning = std::any_of(inFlight.begin(), inFlight.end(), [&](const Flight &flight) {
+        return flight.item.number == reply.number && flight.item.shard == reply.shard
+            && flight.item.backendServer == reply.backendServer;
+    });
+    return isRunning ? std::optional(index) : std::nullopt;
 }
 
 bool ScatterGather::isWellFormed(const Subreply &reply) const
@@ -101,24 +264,52 @@
     if (reply.code != ResultCode::Ok) {
         return true;
     }
-    return reply.version == m_plan.version && nlohmann::json::accept(reply.body);
+    if (m_environment.checks.version && reply.version != m_plan.version) {
+        return false;
+    }
+    return !m_environment.checks.wholeBody
+        || (!reply.body.empty() && reply.body.front() == '[' && nlohmann::json::accept(reply.body));
 }
 
 bool ScatterGather::allSettled() const
 {
     return std::all_of(m_shards.begin(), m_shards.end(), [](const ShardState &shard) {
-        return shard.answered || shard.inFlight.empty();
+        return shard.answered || (shard.givenUp && shard.inFlight.empty());
     });
 }
 
-ScatterGather::Actions ScatterGather::finish()
+ScatterGather::Actions ScatterGather::conclude(Actions actions, SteadyTime now)
+{
+    if (allSettled()) {
+        finish(now, actions);
+        return actions;
+    }
+    m_nextTimer = m_environment.checks.deadline ? m_plan.answerBy() : SteadyTime::max();
+    for (const ShardState &state : m_shards) {
+        m_nextTimer = std::min({m_nextTimer, state.hedgeAt.value_or(SteadyTime::max()),
+                                state.retryAt.value_or(SteadyTime::max())});
+    }
+    return actions;
+}
+
+void ScatterGather::finish(SteadyTime now, Actions &actions)
 {
     assert(!m_finished);
     m_finished = true;
-    Actions actions;
+    bool isStillRunning = false;
+    for (ShardState &state : m_shards) {
+        isStillRunning = isStillRunning || !state.inFlight.empty();
+        cancelAll(state, now, actions);
+    }
+    actions.push_back(Finish {gather(isStillRunning)});
+}
+
+QueryAnswer ScatterGather::gather(bool isStillRunning)
+{
     QueryAnswer answer;
     answer.requestId = m_plan.requestId;
     answer.version = m_plan.version;
+    Reason failure;
     std::uint64_t wanted = 0;
     std::uint64_t covered = 0;
     for (std::size_t index = 0; index < m_shards.size(); ++index) {
@@ -131,24 +322,43 @@
             continue;
         }
         answer.missingShards.push_back(shard.name);
-        answer.outcome = state.inFlight.empty()
-            ? state.lastFailure
-            : Reason {ResultCode::DeadlineExceeded, "no answer came before the deadline"};
-        for (const SubrequestItem &item : state.inFlight) {
-            actions.push_back(Cancel {item});
-        }
+        failure = state.lastFailure;
     }
     answer.coverage = wanted == 0 ? 0 : static_cast<double>(covered) / static_cast<double>(wanted);
-    const bool isPartial = covered > 0 && covered < wanted;
-    const bool isEnough = !m_plan.coverageFirst || answer.coverage >= m_plan.coverageTarget;
-    if (isPartial && isEnough) {
-        answer.outcome = {ResultCode::PartialCoverage, answer.outcome.text};
-    }
-    if (!isEnough) {
+    answer.outcome = judge(answer, std::move(failure), isStillRunning);
+    if (resultCodeInfo(answer.outcome.code).httpStatus != resultCodeInfo(ResultCode::Ok).httpStatus
+        && !answer.recordArrays.empty()) {
+        // An error carries no records, so it covers nothing.
         answer.recordArrays.clear();
+        answer.coverage = 0;
+        answer.missingShards.clear();
+        for (const Shard &shard : m_plan.shards) {
+            answer.missingShards.push_back(shard.name);
+        }
     }
-    actions.push_back(Finish {std::move(answer)});
-    return actions;
+    return answer;
+}
+
+Reason ScatterGather::judge(const QueryAnswer &answer, Reason failure, bool isStillRunning) const
+{
+    if (answer.missingShards.empty()) {
+        return {};
+    }
+    if (isStillRunning || failure.code == ResultCode::Ok) {
+        failure = {ResultCode::DeadlineExceeded, "no answer came before the deadline"};
+    }
+    // Other shards may have run although the last failure was a refusal.
+    if (m_environment.checks.trueNotRun && m_mayHaveRun && promisesNotRun(failure.code)) {
+        failure = {ResultCode::BackendFailed,
+                   "a shard was refused: " + std::string(resultCodeInfo(failure.code).meaning)};
+    }
+    const bool isPartial = answer.coverage > 0;
+    if (m_plan.coverageFirst && answer.coverage < m_plan.coverageTarget) {
+        failure.text += (failure.text.empty() ? "" : "; ") + std::string("the coverage reached, ")
+            + std::to_string(answer.coverage) + ", is below the target";
+        return failure;
+    }
+    return isPartial ? Reason {ResultCode::PartialCoverage, failure.text} : failure;
 }
 
 } // namespace pimentoward
--- a/src/Pimentoward/Version/SnapshotChooser.cpp
+++ b/src/Pimentoward/Version/SnapshotChooser.cpp
@@ -1,15 +1,54 @@
 #include "Pimentoward/Version/SnapshotChooser.h"
 
+#include <algorithm>
+
 namespace pimentoward {
 
-const IndexVersionEntry *SnapshotChooser::choose(const ServiceCatalog &catalog, WallTime now)
+namespace {
+
+bool isServed(const Shard &shard, IndexVersion version, const SnapshotChooser::ServesHook &serves)
 {
+    return std::any_of(shard.replicas.begin(), shard.replicas.end(),
+                       [&](const BackendServerId &replica) { return serves(replica, version); });
+}
+
+} // namespace
+
+const IndexVersionEntry *SnapshotChooser::choose(const ServiceCatalog &catalog, const Query &query,
+                                                 const ServesHook &serves)
+{
+    const IndexVersionEntry *best = nullptr;
+    std::uint64_t bestServed = 0;
     for (auto entry = catalog.versions.rbegin(); entry != catalog.versions.rend(); ++entry) {
-        if (!entry->withdrawn && entry->releaseTime <= now) {
-            return &*entry;
+        const bool isLost
+            = std::find(query.lost.begin(), query.lost.end(), entry->version) != query.lost.end();
+        if (isLost || !catalog.isReleased(*entry, query.time)) {
+            continue;
+        }
+        const std::uint64_t reached = served(*entry, query, serves);
+        if (best == nullptr || reached > bestServed) {
+            best = &*entry;
+            bestServed = reached;
         }
+        if (bestServed == KeyRange::keySpaceSize) {
+            break;
+        }
+    }
+    return best;
+}
+
+std::uint64_t SnapshotChooser::served(const IndexVersionEntry &entry, const Query &query,
+                                      const ServesHook &serves)
+{
+    if (query.position) {
+        const Shard &shard = entry.shards->shardAt(*query.position);
+        return isServed(shard, entry.version, serves) ? KeyRange::keySpaceSize : 0;
+    }
+    std::uint64_t total = 0;
+    for (const Shard &shard : entry.shards->shards()) {
+        total += isServed(shard, entry.version, serves) ? shard.range.size() : 0;
     }
-    return nullptr;
+    return total;
 }
 
 } // namespace pimentoward
--- a/tests/Request/ScatterGatherTest.cpp
+++ b/tests/Request/ScatterGatherTest.cpp
@@ -48,13 +48,14 @@
 
 } // namespace
 
-TEST_CASE("Late, crossed and doubled replies give each shard's records once")
+TEST_CASE("Late, crossed and doubled replies give each shard's records once", "[request]")
 {
     constexpr unsigned seeds = 200;
     for (unsigned seed = 0; seed < seeds; ++seed) {
         CAPTURE(seed);
         std::mt19937 random(seed);
-        ScatterGather gather(tests::makePlan(5, deadline));
+        tests::Scatter scatter;
+        ScatterGather gather(tests::makePlan(5, deadline), scatter.environment);
         std::vector<Subreply> replies;
         for (const SubrequestItem &item : sentItems(gather.start(startTime))) {
             const Subreply reply = replyTo(item, "[\"" + item.shard + "\"]");
@@ -83,9 +84,10 @@
     }
 }
 
-TEST_CASE("A reply of another version or a cut body is not merged")
+TEST_CASE("A reply of another version or a cut body is not merged", "[request]")
 {
-    ScatterGather gather(tests::makePlan(1, deadline));
+    tests::Scatter scatter;
+    ScatterGather gather(tests::makePlan(1, deadline), scatter.environment);
     const auto items = sentItems(gather.start(startTime));
     Subreply otherVersion = replyTo(items.front(), "[1]");
     otherVersion.version = 6;
@@ -95,9 +97,11 @@
     CHECK_FALSE(gather.isFinished());
 }
 
-TEST_CASE("At the deadline the answer names the missing shards and states the coverage")
+TEST_CASE("At the deadline the answer names the missing shards and states the coverage",
+          "[request]")
 {
-    ScatterGather gather(tests::makePlan(4, deadline));
+    tests::Scatter scatter;
+    ScatterGather gather(tests::makePlan(4, deadline), scatter.environment);
     const auto items = sentItems(gather.start(startTime));
     gather.onSubreply(replyTo(items[0], "[]"), startTime);
     gather.onSubreply(replyTo(items[2], "[]"), startTime);
@@ -107,3 +111,65 @@
     CHECK(answer->missingShards == std::vector<ShardName> {"s1", "s3"});
     CHECK(answer->outcome.code == ResultCode::PartialCoverage);
 }
+
+TEST_CASE("A failed subrequest fails over, a refused one for free, within the retry budget",
+          "[request]")
+{
+    tests::Scatter scatter;
+    ScatterGather gather(tests::makePlan(1, deadline), scatter.environment);
+    const auto first = sentItems(gather.start(startTime)).front();
+    Subreply refused = replyTo(first, "");
+    refused.code = ResultCode::NotRunOverloaded;
+    const auto second = sentItems(gather.onSubreply(refused, startTime));
+    REQUIRE(second.size() == 1);
+    CHECK(second.front().backendServer != first.backendServer);
+    CHECK(scatter.policy.retryBudget().taken() == 0);
+    Subreply failed = replyTo(second.front(), "");
+    failed.code = ResultCode::BackendFailed;
+    CHECK(sentItems(gather.onSubreply(failed, startTime)).empty());
+    REQUIRE(gather.nextTimer() < deadline);
+    CHECK(sentItems(gather.onTimer(gather.nextTimer())).size() == 1);
+    CHECK(scatter.policy.retryBudget().taken() == 1);
+}
+
+TEST_CASE("An answer says 'not run' only where no shard may have run", "[request]")
+{
+    for (const bool isChecked : {false, true}) {
+        tests::Scatter scatter;
+        scatter.environment.checks.trueNotRun = isChecked;
+        QueryPlan plan = tests::makePlan(2, deadline);
+        plan.isRepeatable = false;
+        plan.coverageFirst = true;
+        ScatterGather gather(plan, scatter.environment);
+        const auto items = sentItems(gather.start(startTime));
+        gather.onSubreply(replyTo(items[0], "[1]"), startTime);
+        Subreply refused = replyTo(items[1], "");
+        refused.code = ResultCode::NotRunOverloaded;
+        const auto again = sentItems(gather.onSubreply(refused, startTime));
+        REQUIRE(again.size() == 1);
+        Subreply refusedAgain = replyTo(again.front(), "");
+        refusedAgain.code = ResultCode::NotRunOverloaded;
+        gather.onSubreply(refusedAgain, startTime);
+        const auto answer = answerIn(gather.onTimer(deadline));
+        REQUIRE(answer);
+        CHECK(promisesNotRun(answer->outcome.code) == !isChecked);
+        CHECK(answer->recordArrays.empty());
+        CHECK(answer->coverage == 0);
+        CHECK(answer->missingShards.size() == 2);
+    }
+}
+
+TEST_CASE("A time-first query answers by its margin before the deadline", "[request]")
+{
+    tests::Scatter scatter;
+    QueryPlan plan = tests::makePlan(2, deadline);
+    plan.answerMargin = std::chrono::milliseconds(7);
+    ScatterGather gather(plan, scatter.environment);
+    const auto items = sentItems(gather.start(startTime));
+    gather.onSubreply(replyTo(items[0], "[]"), startTime);
+    CHECK(gather.nextTimer() == deadline - std::chrono::milliseconds(7));
+    const auto answer = answerIn(gather.onTimer(gather.nextTimer()));
+    REQUIRE(answer);
+    CHECK(answer->outcome.code == ResultCode::PartialCoverage);
+    CHECK(answer->coverage == 0.5);
+}
--- /dev/null
+++ b/tests/Version/SnapshotChooserTest.cpp
@@ -0,0 +1,115 @@
+#include "Pimentoward/Version/SnapshotChooser.h"
+#include "tests/support/QueryPlans.h"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+#include <set>
+
+using namespace pimentoward;
+
+namespace {
+
+const WallTime now {std::chrono::hours(1)};
+
+ServiceCatalog threeVersions()
+{
+    ServiceCatalog catalog;
+    catalog.name = "service";
+    for (IndexVersion version = 1; version <= 3; ++version) {
+        tests::addVersion(catalog, version, 2 + version, now - std::chrono::seconds(1));
+    }
+    return catalog;
+}
+
+IndexVersion chosen(const ServiceCatalog &catalog, const SnapshotChooser::Query &query,
+                    const std::set<std::pair<BackendServerId, IndexVersion>> &lacking = {})
+{
+    const auto *entry = SnapshotChooser::choose(
+        catalog, query, [&](const BackendServerId &id, IndexVersion version) {
+            return lacking.count({id, version}) == 0;
+        });
+    return entry == nullptr ? 0 : entry->version;
+}
+
+} // namespace
+
+TEST_CASE("The newest released version that all shards serve is pinned", "[version]")
+{
+    ServiceCatalog catalog = threeVersions();
+    CHECK(chosen(catalog, {now, {}, {}}) == 3);
+    CHECK(chosen(catalog, {now, {}, {3}}) == 2);
+    CHECK(chosen(catalog, {now - std::chrono::seconds(2), {}, {}}) == 0);
+    // One replica of a shard is enough; none is not.
+    CHECK(chosen(catalog, {now, {}, {}}, {{"s0-0", 3}}) == 3);
+    CHECK(chosen(catalog, {now, {}, {}}, {{"s0-0", 3}, {"s0-1", 3}}) == 2);
+    catalog.versions[2].withdrawn = true;
+    CHECK(chosen(catalog, {now, {}, {}}) == 2);
+}
+
+TEST_CASE("Where no version is served whole, that of the highest coverage is pinned", "[version]")
+{
+    const ServiceCatalog catalog = threeVersions();
+    // Versions 1, 2 and 3 have three, four and five equal shards.
+    const std::set<std::pair<BackendServerId, IndexVersion>> oneShardEach {
+        {"s0-0", 1}, {"s0-1", 1}, {"s0-0", 2}, {"s0-1", 2}, {"s0-0", 3}, {"s0-1", 3}};
+    CHECK(chosen(catalog, {now, {}, {}}, oneShardEach) == 3);
+    auto twoShardsOfThree = oneShardEach;
+    twoShardsOfThree.insert({{"s1-0", 3}, {"s1-1", 3}});
+    CHECK(chosen(catalog, {now, {}, {}}, twoShardsOfThree) == 2);
+    // A lookup in the last shard needs no other.
+    CHECK(chosen(catalog, {now, KeyRange::keySpaceSize - 1, {}}, twoShardsOfThree) == 3);
+}
+
+TEST_CASE("A scheduled release goes before the version's own time", "[version]")
+{
+    ServiceCatalog catalog = threeVersions();
+    Reason reason;
+    ScheduleEntry release {
+        "r", 1, ScheduleEntry::Kind::VersionRelease, "3", now + std::chrono::seconds(5), {}, false};
+    catalog.schedule = IndexSchedule::build({release}, reason).value();
+    CHECK(chosen(catalog, {now, {}, {}}) == 2);
+    CHECK(chosen(catalog, {now + std::chrono::seconds(5), {}, {}}) == 3);
+    release.withdrawn = true;
+    release.change = 2;
+    catalog.schedule = IndexSchedule::build({release}, reason).value();
+    CHECK(chosen(catalog, {now + std::chrono::seconds(5), {}, {}}) == 2);
+    Reason why;
+    const auto again = ServiceCatalog::parse(catalog.toJson(), why);
+    INFO(why.text);
+    REQUIRE(again);
+    CHECK(again->schedule.entries() == catalog.schedule.entries());
+    CHECK(again->toJson() == catalog.toJson());
+}
+
+TEST_CASE("No mutation of a service description crashes or passes unchecked", "[version]")
+{
+    ServiceCatalog catalog;
+    catalog.name = "service";
+    tests::addVersion(catalog, 1, 1, now);
+    Reason reason;
+    catalog.schedule
+        = IndexSchedule::build({{"r", 1, ScheduleEntry::Kind::VersionRelease, "3", now, {}, false},
+                                {"d", 1, ScheduleEntry::Kind::FailureDomainOut, "a", now,
+                                 now + std::chrono::hours(1), true}},
+                               reason)
+              .value();
+    const std::string valid = catalog.toJson();
+    std::mt19937 random(5);
+    constexpr int inputs = 100'000;
+    int accepted = 0;
+    for (int input = 0; input < inputs; ++input) {
+        const std::string text = tests::mutated(valid, random);
+        Reason why;
+        if (const auto parsed = ServiceCatalog::parse(text, why)) {
+            ++accepted;
+            // What passed can be written and read again.
+            if (accepted % 64 == 0) {
+                REQUIRE(ServiceCatalog::parse(parsed->toJson(), why));
+            }
+        } else if (why.code != ResultCode::InvalidMessage || why.text.empty()) {
+            FAIL(text);
+        }
+    }
+    CHECK(accepted < inputs / 2);
+}
--- a/tests/support/QueryPlans.h
+++ b/tests/support/QueryPlans.h
@@ -1,7 +1,10 @@
 #pragma once
 
-#include "Pimentoward/Request/QueryPlan.h"
+#include "Pimentoward/Request/ScatterGather.h"
 
+#include "Pimentoward/Version/ServiceCatalog.h"
+
+#include <random>
 #include <string>
 
 namespace pimentoward::tests {
@@ -24,4 +27,69 @@
     return plan;
 }
 
+/// Adds an index version of `count` such shards, with their backend servers in failure domains
+/// "a" and "b".
+inline void addVersion(ServiceCatalog &catalog, IndexVersion version, std::size_t count,
+                       WallTime release)
+{
+    Reason reason;
+    const std::vector<Shard> shards = makePlan(count, SteadyTime()).shards;
+    for (const Shard &shard : shards) {
+        for (std::size_t replica = 0; replica < shard.replicas.size(); ++replica) {
+            BackendServer server;
+            server.id = shard.replicas[replica];
+            server.address = {"127.0.0.1", 9};
+            server.failureDomain = replica == 0 ? "a" : "b";
+            catalog.backendServers[server.id] = server;
+        }
+    }
+    auto map = ShardMap::build(shards, reason);
+    catalog.versions.push_back(
+        {version, release, false, std::make_shared<const ShardMap>(std::move(*map))});
+}
+
+/// The text with one to four bytes changed, removed, doubled or cut off behind them.
+inline std::string mutated(std::string text, std::mt19937 &random)
+{
+    const unsigned changes = 1 + random() % 4;
+    for (unsigned change = 0; change < changes && !text.empty(); ++change) {
+        const std::size_t place = random() % text.size();
+        switch (random() % 5) {
+        case 0:
+            text[place] = static_cast<char>(random());
+            break;
+        case 1:
+            text.erase(place, 1 + random() % 8);
+            break;
+        case 2:
+            text.insert(place, text.substr(random() % text.size(), random() % 8));
+            break;
+        case 3:
+            text[place] = "0123456789-\"{}[],.e"[random() % 19];
+            break;
+        default:
+            text.resize(random() % 8 == 0 ? place : text.size());
+        }
+    }
+    return text;
+}
+
+/// What a ScatterGather uses, with replicas taken in their written order.
+struct Scatter
+{
+    HedgePolicy policy;
+    ReplicaChooser chooser {{std::chrono::seconds(1), std::chrono::milliseconds(2),
+                             std::chrono::seconds(5), false, true, true, 1}};
+    ScatterGather::Environment environment {
+        policy,
+        [this](const Shard &shard, const std::vector<BackendServerId> &avoid,
+               ReplicaChooser::Purpose purpose, SteadyTime now) {
+            return chooser.choose(shard, avoid, purpose, now, [](const BackendServerId &) {
+                return ReplicaChooser::Standing();
+            });
+        },
+        {},
+        {}};
+};
+
 } // namespace pimentoward::tests
