Stand-in backend server: cold start that collapses, shedding, incarnation

Cause: the stand-in was always warm and never refused work, so no test could show a cold start. Change: the model warms up over a set number of runs, bears fewer at a time while cold, collapses after a set number of starts above that, refuses above a set load, restarts with a new incarnation; each run records what was bearable when it started, and counts are kept. Ruled out: collapse on the first start too many (no owner can know of a silent turn before the first slow reply).

--- a/standins/BackendServerModel.cpp
+++ b/standins/BackendServerModel.cpp
@@ -7,6 +7,11 @@
 
 namespace {
 
+/// Share of the warm-up during which no more than the cold slots are borne.
+constexpr double fragileShare = 0.8;
+/// How much longer work takes in a collapsed server.
+constexpr double collapsedFactor = 20;
+
 /// A number in (0, 1], equal on every standard library.
 double uniform(std::mt19937 &random)
 {
@@ -21,29 +26,58 @@
     , m_random(settings.seed)
 { }
 
-Duration BackendServerModel::begin(const std::string &requestId, const ShardName &shard,
-                                   IndexVersion version, SteadyTime now)
+std::optional<Duration> BackendServerModel::begin(const std::string &requestId,
+                                                  const ShardName &shard, IndexVersion version,
+                                                  SteadyTime now)
 {
-    RunRecord record;
-    record.requestId = requestId;
-    record.shard = shard;
-    record.version = version;
-    record.started = now;
-    m_running[requestId] = m_records.size();
-    record.concurrent = running();
-    m_mostConcurrent = std::max(m_mostConcurrent, record.concurrent);
-    m_records.push_back(std::move(record));
+    const bool sheds = m_settings.shedAbove > 0 && running() >= m_settings.shedAbove;
+    if (sheds || isCollapsed(now)) {
+        ++m_statistics.refused;
+        return std::nullopt;
+    }
+    RunRecord run;
+    run.requestId = requestId;
+    run.shard = shard;
+    run.version = version;
+    run.started = now;
+    record(std::move(run), now);
+    const double micros = static_cast<double>(m_settings.serviceTime.count()) * serviceFactor(now);
+    return std::chrono::microseconds(static_cast<std::int64_t>(micros));
+}
 
+void BackendServerModel::record(RunRecord run, SteadyTime now)
+{
+    m_seen.insert(run.requestId);
+    m_running[run.requestId] = m_records.size();
+    run.concurrent = running();
+    run.bearable = bearable();
+    ++m_statistics.runs;
+    m_statistics.mostConcurrent = std::max(m_statistics.mostConcurrent, run.concurrent);
+    if (run.concurrent > m_settings.slots) {
+        ++m_statistics.overloaded;
+    }
+    if (isCold() && run.concurrent > run.bearable) {
+        ++m_statistics.coldOverloaded;
+        ++m_overloadsWhileCold;
+    }
+    m_records.push_back(std::move(run));
+    if (m_overloadsWhileCold > m_settings.collapseAfter) {
+        collapse(now);
+    }
+}
+
+double BackendServerModel::serviceFactor(SteadyTime now)
+{
     // Half of the mean is fixed, the rest falls off exponentially, as index look-ups do.
     constexpr double fixedShare = 0.5;
     double factor = fixedShare - (1 - fixedShare) * std::log(uniform(m_random));
     if (uniform(m_random) <= m_settings.stragglerShare) {
         factor *= m_settings.stragglerFactor;
     }
-    // Work above the slots slows all of it down.
-    const double overload = std::max(1.0, static_cast<double>(running()) / m_settings.slots);
-    const double micros = static_cast<double>(m_settings.serviceTime.count()) * factor * overload;
-    return std::chrono::microseconds(static_cast<std::int64_t>(micros));
+    // Work above what it bears slows all of it down.
+    factor *= std::max(1.0, static_cast<double>(running()) / bearable());
+    factor *= m_settings.coldFactor + (1 - m_settings.coldFactor) * warmth();
+    return factor * m_slowFactor * (isCollapsed(now) ? collapsedFactor : 1);
 }
 
 void BackendServerModel::end(const std::string &requestId, bool finished, SteadyTime now)
@@ -52,10 +86,37 @@
     if (found == m_running.end()) {
         return;
     }
-    RunRecord &record = m_records[found->second];
-    record.ended = now;
-    record.finished = finished;
+    RunRecord &run = m_records[found->second];
+    run.ended = now;
+    run.finished = finished;
     m_running.erase(found);
+    if (finished && isCold()) {
+        ++m_warmRuns;
+    }
+}
+
+void BackendServerModel::makeCold()
+{
+    m_warmRuns = 0;
+    m_overloadsWhileCold = 0;
+}
+
+void BackendServerModel::restart(SteadyTime now)
+{
+    while (!m_running.empty()) {
+        const std::string requestId = m_running.begin()->first;
+        end(requestId, false, now);
+    }
+    ++m_incarnation;
+    m_collapsedUntil = {};
+    makeCold();
+}
+
+void BackendServerModel::collapse(SteadyTime now)
+{
+    ++m_statistics.collapses;
+    m_collapsedUntil = now + m_settings.collapseTime;
+    makeCold();
 }
 
 bool BackendServerModel::isRunning(const std::string &requestId) const
@@ -63,4 +124,23 @@
     return m_running.count(requestId) > 0;
 }
 
+bool BackendServerModel::isCold() const
+{
+    return m_warmRuns < m_settings.warmUpRuns;
+}
+
+double BackendServerModel::warmth() const
+{
+    return isCold() ? static_cast<double>(m_warmRuns) / m_settings.warmUpRuns : 1;
+}
+
+int BackendServerModel::bearable() const
+{
+    if (!isCold()) {
+        return m_settings.slots;
+    }
+    const int cold = std::min(m_settings.coldSlots, m_settings.slots);
+    return warmth() < fragileShare ? cold : std::min(cold + 1, m_settings.slots);
+}
+
 } // namespace pimentoward::standins
--- a/standins/BackendServerProcess.cpp
+++ b/standins/BackendServerProcess.cpp
@@ -15,6 +15,7 @@
 constexpr int statusBadRequest = 400;
 constexpr int statusVersionGone = 410;
 constexpr int statusStopped = 499;
+constexpr int statusRefused = 503;
 
 HttpAnswer textAnswer(int status, const std::string &text)
 {
@@ -67,7 +68,13 @@
         respond(textAnswer(statusVersionGone, "this version of the shard is not held here"));
         return;
     }
-    const Duration needed = m_model.begin(requestId, shard->name, version, m_clock.now());
+    const std::optional<Duration> begun
+        = m_model.begin(requestId, shard->name, version, m_clock.now());
+    if (!begun) {
+        respond(textAnswer(statusRefused, "refused without being run"));
+        return;
+    }
+    const Duration needed = *begun;
     const auto allowed
         = std::chrono::milliseconds(std::atoll(request.header("x-deadline-ms").c_str()));
     const bool whole = needed <= allowed;
