--- /dev/null
+++ b/tests/Connection/BackendDispatcherTest.cpp
@@ -0,0 +1,186 @@
+#include "tests/support/BackendFake.h"
+
+#include <catch2/catch.hpp>
+
+using namespace pimentoward;
+using namespace std::chrono_literals;
+using tests::BackendFake;
+
+namespace {
+
+constexpr std::uint32_t seeds = 300;
+constexpr int arrivals = 1200;
+constexpr int slots = 3;
+/// At three slots and 1 ms of service this is about 90 % of what the server bears.
+constexpr auto spacing = 1100us;
+
+/// A backend server with three slots that warms up over 60 runs, and every fault of the network.
+BackendFake::Settings faulty()
+{
+    BackendFake::Settings settings;
+    settings.dispatcher.slots = slots;
+    settings.dispatcher.grace = 20ms;
+    settings.model.slots = slots;
+    settings.model.serviceTime = 1000us;
+    settings.model.warmUpRuns = 60;
+    settings.longestDelay = 1ms;
+    settings.lostReplies = 0.003;
+    settings.brokenConnections = 0.003;
+    settings.ignoredCancels = 0.2;
+    settings.cancels = 0.1;
+    return settings;
+}
+
+/// What the backend server's own record shows over all seeds.
+struct Findings
+{
+    std::uint64_t overloaded = 0;
+    std::uint64_t coldOverloaded = 0;
+    std::uint64_t collapses = 0;
+    int withoutOneOutcome = 0;
+    int falseNotRun = 0;
+    int slotsLeft = 0;
+    int succeeded = 0;
+    std::uint32_t failedSeed = 0;
+};
+
+using Script = std::function<void(BackendFake &)>;
+
+Findings search(const BackendFake::Settings &settings, const Script &script)
+{
+    Findings all;
+    for (std::uint32_t seed = 1; seed <= seeds; ++seed) {
+        BackendFake::Settings seeded = settings;
+        seeded.model.seed = seed;
+        BackendFake fake(seeded, seed);
+        fake.arrive(arrivals, spacing);
+        script(fake);
+        fake.runToEnd();
+        const auto &counts = fake.model().statistics();
+        all.overloaded += counts.overloaded;
+        all.coldOverloaded += counts.coldOverloaded;
+        all.collapses += counts.collapses;
+        all.withoutOneOutcome += fake.withoutOneOutcome();
+        all.falseNotRun += fake.falseNotRun();
+        all.slotsLeft += static_cast<int>(fake.dispatcher().inFlight());
+        all.succeeded += fake.succeeded();
+        if (counts.overloaded + counts.collapses > 0 && all.failedSeed == 0) {
+            all.failedSeed = seed;
+        }
+    }
+    UNSCOPED_INFO("first failed seed " << all.failedSeed << ", overloaded " << all.overloaded
+                                       << ", cold overloaded " << all.coldOverloaded
+                                       << ", collapses " << all.collapses << ", succeeded "
+                                       << all.succeeded);
+    return all;
+}
+
+void checkHonest(const Findings &findings)
+{
+    CHECK(findings.withoutOneOutcome == 0);
+    CHECK(findings.falseNotRun == 0);
+    CHECK(findings.slotsLeft == 0);
+}
+
+void noFault(BackendFake &) { }
+
+void restartTwice(BackendFake &fake)
+{
+    fake.after(600ms, [&fake] { fake.restart(); });
+    fake.after(900ms, [&fake] { fake.restart(); });
+}
+
+void turnColdTwice(BackendFake &fake)
+{
+    fake.after(600ms, [&fake] { fake.model().makeCold(); });
+    fake.after(1000ms, [&fake] { fake.model().makeCold(); });
+}
+
+} // namespace
+
+TEST_CASE("Work in a backend server never exceeds its slots", "[connection]")
+{
+    const Findings findings = search(faulty(), noFault);
+    CHECK(findings.overloaded == 0);
+    CHECK(findings.collapses == 0);
+    checkHonest(findings);
+    CHECK(findings.succeeded > static_cast<int>(seeds) * arrivals / 2);
+}
+
+TEST_CASE("Slots freed without a proof overload the backend server", "[connection]")
+{
+    auto settings = faulty();
+    settings.dispatcher.needsProof = false;
+    CHECK(search(settings, noFault).overloaded > 0);
+}
+
+TEST_CASE("A restart at full load, twice, causes no collapse", "[connection]")
+{
+    const Findings findings = search(faulty(), restartTwice);
+    CHECK(findings.overloaded == 0);
+    CHECK(findings.coldOverloaded == 0);
+    CHECK(findings.collapses == 0);
+    checkHonest(findings);
+}
+
+TEST_CASE("A silent turn to cold at full load, twice, causes no collapse", "[connection]")
+{
+    const Findings findings = search(faulty(), turnColdTwice);
+    CHECK(findings.overloaded == 0);
+    // Nothing tells of such a turn before the first slow reply: at most one refill of the slots.
+    CHECK(findings.coldOverloaded <= std::uint64_t {2} * slots * seeds);
+    CHECK(findings.collapses == 0);
+    checkHonest(findings);
+}
+
+TEST_CASE("Without the cold limit the backend server collapses", "[connection]")
+{
+    auto settings = faulty();
+    settings.dispatcher.guardsColdStart = false;
+    CHECK(search(settings, restartTwice).collapses > 0);
+    CHECK(search(settings, turnColdTwice).collapses > 0);
+}
+
+TEST_CASE("A cancelled subrequest holds its slot until a proof or its deadline and grace",
+          "[connection]")
+{
+    const SteadyTime start {1h};
+    BackendDispatcher dispatcher({});
+    REQUIRE(dispatcher.enqueue(1, RequestClass::Interactive, start + 100ms, start).size() == 1);
+    CHECK(dispatcher.enqueue(2, RequestClass::Interactive, start + 900ms, start).empty());
+    const auto stop = dispatcher.cancel(1, start + 1ms);
+    REQUIRE(stop.size() == 1);
+    CHECK(std::holds_alternative<BackendDispatcher::CancelRunning>(stop.front()));
+    CHECK(dispatcher.cancel(1, start + 2ms).empty());
+    CHECK(dispatcher.onOutcome(1, {ResultCode::MayHaveRun, 1ms, false, 0}, start + 3ms).empty());
+    CHECK(dispatcher.nextTimer() == start + 300ms);
+    CHECK(dispatcher.onTimer(start + 299ms).empty());
+    CHECK(dispatcher.onTimer(start + 300ms).size() == 1);
+    // The second one's slot is freed by the acknowledgement.
+    REQUIRE(dispatcher.cancel(2, start + 301ms).size() == 1);
+    CHECK(dispatcher.inFlight() == 1);
+    dispatcher.onCancelAcknowledged(2, start + 302ms);
+    CHECK(dispatcher.inFlight() == 0);
+}
+
+TEST_CASE("What can no longer be served in time is refused as not run", "[connection]")
+{
+    const SteadyTime start {1h};
+    BackendDispatcher dispatcher({});
+    dispatcher.enqueue(1, RequestClass::Interactive, start + 100ms, start);
+    dispatcher.onOutcome(1, {ResultCode::Ok, 20ms, true, 1}, start + 20ms);
+    const SteadyTime now = start + 20ms;
+    REQUIRE(dispatcher.enqueue(2, RequestClass::Interactive, now + 500ms, now).size() == 1);
+    const auto isRefused = [](const BackendDispatcher::Actions &actions) {
+        return actions.size() == 1
+            && std::get<BackendDispatcher::Refuse>(actions.front()).reason.code
+            == ResultCode::NotRunDeadline;
+    };
+    // One round of waiting and its own run take 40 ms.
+    CHECK(isRefused(dispatcher.enqueue(3, RequestClass::Interactive, now + 39ms, now)));
+    CHECK(dispatcher.enqueue(4, RequestClass::Interactive, now + 41ms, now).empty());
+    CHECK(isRefused(dispatcher.enqueue(5, RequestClass::Evening, now + 59ms, now)));
+    CHECK(dispatcher.nextTimer() == now + 21ms);
+    CHECK(isRefused(dispatcher.onTimer(now + 21ms)));
+    CHECK(dispatcher.load().queueLength == 0);
+}
