Let orders choose versions and replicas by the same rules as queries

Change: orders ask the schedule, operators' exceptions and known owners, and try allowed replicas first. Ruled out: a choice of their own for orders; it would differ from the queries' in the end.

--- a/src/Pimentoward/Request/OrderCoordinator.cpp
+++ b/src/Pimentoward/Request/OrderCoordinator.cpp
@@ -8,6 +8,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <map>
 #include <unordered_map>
 
@@ -79,7 +80,15 @@
     std::optional<OrderPlan> plan(const OrderRequest &request) const
     {
         const ServiceCatalog &catalog = *view->services.at(request.service);
-        const IndexVersionEntry *version = SnapshotChooser::choose(catalog, clock->wallNow());
+        const WallTime now = clock->wallNow();
+        const auto serves = [&](const BackendServerId &id, IndexVersion) {
+            const auto server = catalog.backendServers.find(id);
+            return server != catalog.backendServers.end() && view->owners.count(id) > 0
+                && !view->settings->isOut(server->second.failureDomain)
+                && catalog.mayTakeNewWork(server->second, now);
+        };
+        const SnapshotChooser::Query query {now, KeyRange::positionOf(request.key), {}};
+        const IndexVersionEntry *version = SnapshotChooser::choose(catalog, query, serves);
         if (version == nullptr) {
             return std::nullopt;
         }
@@ -87,6 +96,10 @@
         plan.coordinator = self;
         plan.request = request;
         plan.shard = version->shards->shardAt(KeyRange::positionOf(request.key));
+        // Replicas that may take new work come first; the others would only refuse.
+        std::stable_partition(
+            plan.shard.replicas.begin(), plan.shard.replicas.end(),
+            [&](const BackendServerId &id) { return serves(id, version->version); });
         plan.version = version->version;
         plan.deadline = clock->now()
             + request.deadline.value_or(
