--- /dev/null
+++ b/apps/pimento-load/main.cpp
@@ -0,0 +1,166 @@
+#include "Pimentoward/Core/Log.h"
+#include "Pimentoward/Process/SettingsReader.h"
+#include "apps/pimento-load/LoadSettings.h"
+#include "standins/CallerTargets.h"
+#include "standins/CompareRounds.h"
+#include "standins/DirectFanout.h"
+
+#include <event2/event.h>
+#include <nlohmann/json.hpp>
+
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+
+using namespace pimentoward;
+
+namespace {
+
+using Loads = std::vector<standins::LoadPlan::Settings>;
+
+standins::LoadRunner::SendHook sendTo(standins::CallerTargets &targets)
+{
+    return [&targets](const auto &request, auto done) { targets.send(request, std::move(done)); };
+}
+
+standins::CallerTargets makeTargets(event_base *loop, const ResolvedSettings &settings,
+                                    const std::string &name)
+{
+    Reason reason;
+    standins::CallerTargets::Settings caller;
+    caller.probePeriod = std::chrono::milliseconds(settings.integer("probe-ms"));
+    caller.keepsBody = settings.flag("once");
+    return {loop, *LoadSettings::addresses(settings.text(name), reason), caller};
+}
+
+/// Writes PREFIX + ending where a prefix is set.
+void write(const ResolvedSettings &settings, const std::string &ending, const std::string &text)
+{
+    const std::string &prefix = settings.text("output");
+    if (prefix.empty()) {
+        return;
+    }
+    if (const auto folder = std::filesystem::path(prefix).parent_path(); !folder.empty()) {
+        std::filesystem::create_directories(folder);
+    }
+    std::ofstream(prefix + ending) << text;
+}
+
+/// One lookup and one search of each service, one after the other.
+std::vector<standins::PlannedRequest> planOnce(Loads loads)
+{
+    std::vector<standins::PlannedRequest> plan;
+    for (auto &load : loads) {
+        load.rate = 1;
+        load.length = std::chrono::seconds(1);
+        load.isPoisson = false;
+        for (const double searchShare : {0.0, 1.0}) {
+            load.searchShare = searchShare;
+            for (auto &request : standins::LoadPlan::make({load})) {
+                request.at = Duration::zero();
+                plan.push_back(std::move(request));
+            }
+        }
+    }
+    return plan;
+}
+
+ExitCode runOnce(event_base *loop, const ResolvedSettings &settings, const Loads &loads)
+{
+    standins::CallerTargets targets = makeTargets(loop, settings, "targets");
+    const auto plan = planOnce(loads);
+    const auto samples = standins::LoadRunner::run(loop, plan, sendTo(targets));
+    bool allWhole = true;
+    for (std::size_t index = 0; index < plan.size(); ++index) {
+        const standins::LoadOutcome &outcome = samples[index].outcome;
+        allWhole = allWhole && outcome.isWhole();
+        std::cout << plan[index].callerBody << "\n  -> "
+                  << (outcome.body.empty() ? std::string(resultCodeInfo(outcome.code).meaning)
+                                           : outcome.body)
+                  << '\n';
+    }
+    return allWhole ? ExitCode::Success : ExitCode::Failure;
+}
+
+ExitCode runLoad(event_base *loop, const ResolvedSettings &settings, const Loads &loads)
+{
+    standins::CallerTargets targets = makeTargets(loop, settings, "targets");
+    const standins::CallerReport report(
+        standins::LoadRunner::run(loop, standins::LoadPlan::make(loads), sendTo(targets)));
+    std::cout << standins::CallerReport::tableHeading() << report.tableLine("load");
+    std::cout << report.toJson().dump() << '\n';
+    write(settings, ".json", report.toJson().dump(2) + "\n");
+    return ExitCode::Success;
+}
+
+ExitCode runCompare(event_base *loop, const ResolvedSettings &settings,
+                    const standins::Deployment &deployment, const Loads &loads)
+{
+    constexpr IndexVersion firstVersion = 1;
+    const bool isDirect = settings.text("compare") == "direct";
+    standins::CallerTargets a = makeTargets(loop, settings, "targets");
+    standins::CallerTargets b = makeTargets(loop, settings, isDirect ? "targets" : "targets-b");
+    std::vector<ServiceCatalog> catalogs;
+    for (const standins::ServiceShape &shape : deployment.services) {
+        catalogs.push_back(deployment.catalog(shape, firstVersion));
+    }
+    standins::DirectFanout::Settings fanout;
+    fanout.vms = static_cast<std::size_t>(settings.integer("direct-vms"));
+    fanout.limitPerVm = static_cast<int>(settings.integer("direct-limit"));
+    standins::DirectFanout direct(loop, catalogs, fanout);
+    standins::CompareRounds::Policy policyA;
+    policyA.name = "A";
+    policyA.send = sendTo(a);
+    standins::CompareRounds::Policy policyB;
+    policyB.name = isDirect ? "direct" : "B";
+    policyB.send = sendTo(b);
+    if (isDirect) {
+        policyB.send
+            = [&direct](const auto &request, auto done) { direct.send(request, std::move(done)); };
+    }
+    const auto result
+        = standins::CompareRounds::run(loop, standins::LoadPlan::make(loads), policyA, policyB,
+                                       static_cast<std::size_t>(settings.integer("rounds")));
+    std::cout << result.table() << result.toJson().dump() << '\n';
+    write(settings, ".json", result.toJson().dump(2) + "\n");
+    write(settings, ".data", result.plotData());
+    return ExitCode::Success;
+}
+
+ExitCode run(const ResolvedSettings &settings)
+{
+    Reason reason;
+    const auto deployment = standins::Deployment::load(settings.text("deployment"), reason);
+    const auto loads
+        = deployment ? LoadSettings::loads(settings, *deployment, reason) : std::nullopt;
+    if (!loads) {
+        std::cerr << "pimento-load: " << reason.text << '\n';
+        return ExitCode::InvalidSettings;
+    }
+    event_base *loop = event_base_new();
+    ExitCode code = ExitCode::Success;
+    if (settings.flag("once")) {
+        code = runOnce(loop, settings, *loads);
+    } else if (settings.text("compare") == "none") {
+        code = runLoad(loop, settings, *loads);
+    } else {
+        code = runCompare(loop, settings, *deployment, *loads);
+    }
+    event_base_free(loop);
+    return code;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    ExitCode exitCode {};
+    SettingsReader reader("pimento-load", "Open-loop load and experiments", LoadSettings::table());
+    reader.crossCheck(LoadSettings::crossCheck);
+    const auto settings = reader.readOrExit(argc, argv, exitCode);
+    if (!settings) {
+        return static_cast<int>(exitCode);
+    }
+    Log::start(settings->text("log-level"));
+    return static_cast<int>(run(*settings));
+}
--- /dev/null
+++ b/standins/CompareRounds.cpp
@@ -0,0 +1,183 @@
+#include "standins/CompareRounds.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <iomanip>
+#include <sstream>
+
+namespace pimentoward::standins {
+
+namespace {
+
+constexpr std::size_t policies = 2;
+constexpr double p50 = 0.5;
+constexpr double p90 = 0.9;
+constexpr double p99 = 0.99;
+
+CompareRounds::Result::Spread spreadOf(std::vector<double> values)
+{
+    if (values.empty()) {
+        return {};
+    }
+    std::sort(values.begin(), values.end());
+    const std::size_t middle = values.size() / 2;
+    const bool isOdd = values.size() % 2 == 1;
+    const double median = isOdd ? values[middle] : (values[middle - 1] + values[middle]) / 2;
+    return {median, values.front(), values.back()};
+}
+
+std::string spreadText(const CompareRounds::Result::Spread &spread)
+{
+    std::ostringstream text;
+    text << std::fixed << std::setprecision(2) << spread.median << " (" << spread.lowest << " to "
+         << spread.highest << ")";
+    return text.str();
+}
+
+nlohmann::json spreadJson(const CompareRounds::Result::Spread &spread)
+{
+    return {{"median", spread.median}, {"lowest", spread.lowest}, {"highest", spread.highest}};
+}
+
+/// A figure with its title in tables and in JSON.
+struct Figure
+{
+    std::string title;
+    std::function<double(const CompareRounds::Round &)> value;
+};
+
+std::vector<Figure> figures()
+{
+    using Round = CompareRounds::Round;
+    constexpr double percent = 100;
+    return {
+        {"p50Ms", [](const Round &round) { return CompareRounds::quantileMs(round, p50); }},
+        {"p90Ms", [](const Round &round) { return CompareRounds::quantileMs(round, p90); }},
+        {"p99Ms", [](const Round &round) { return CompareRounds::quantileMs(round, p99); }},
+        {"wholePercent",
+         [](const Round &round) { return percent * CompareRounds::wholeShare(round); }},
+        {"cpuMs",
+         [](const Round &round) {
+             return std::chrono::duration<double, std::milli>(round.cpuTime).count();
+         }},
+    };
+}
+
+} // namespace
+
+double CompareRounds::quantileMs(const Round &round, double quantile)
+{
+    const CallerReport report(round.samples);
+    return std::chrono::duration<double, std::milli>(report.latency().quantile(quantile)).count();
+}
+
+double CompareRounds::wholeShare(const Round &round)
+{
+    const CallerReport report(round.samples);
+    return report.count() == 0
+        ? 0
+        : static_cast<double>(report.whole()) / static_cast<double>(report.count());
+}
+
+CompareRounds::Result CompareRounds::run(event_base *loop, const std::vector<PlannedRequest> &plan,
+                                         const Policy &a, const Policy &b, std::size_t rounds)
+{
+    const Policy *order[policies] = {&a, &b};
+    Result result;
+    for (std::size_t round = 0; round <= rounds; ++round) {
+        for (std::size_t policy = 0; policy < policies; ++policy) {
+            const Policy &current = *order[policy];
+            result.names[policy] = current.name;
+            current.prepare();
+            const Duration before = current.cpuTime();
+            Round measured;
+            measured.samples = LoadRunner::run(loop, plan, current.send);
+            measured.cpuTime = current.cpuTime() - before;
+            // The first round opens connections and fills caches.
+            if (round > 0) {
+                result.rounds[policy].push_back(std::move(measured));
+            }
+        }
+    }
+    return result;
+}
+
+Duration CompareRounds::Result::latency(std::size_t policy, double quantile) const
+{
+    const auto figure = [quantile](const Round &round) { return quantileMs(round, quantile); };
+    return std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double, std::milli>(spread(policy, figure).median));
+}
+
+CompareRounds::Result::Spread
+CompareRounds::Result::spread(std::size_t policy,
+                              const std::function<double(const Round &)> &figure) const
+{
+    std::vector<double> values;
+    for (const Round &round : rounds[policy]) {
+        values.push_back(figure(round));
+    }
+    return spreadOf(std::move(values));
+}
+
+CompareRounds::Result::Spread
+CompareRounds::Result::ratio(const std::function<double(const Round &)> &figure) const
+{
+    std::vector<double> values;
+    for (std::size_t index = 0; index < rounds[0].size(); ++index) {
+        const double divisor = figure(rounds[1][index]);
+        values.push_back(divisor == 0 ? 0 : figure(rounds[0][index]) / divisor);
+    }
+    return spreadOf(std::move(values));
+}
+
+nlohmann::json CompareRounds::Result::toJson() const
+{
+    nlohmann::json json;
+    json["rounds"] = rounds[0].size();
+    for (const Figure &figure : figures()) {
+        for (std::size_t policy = 0; policy < policies; ++policy) {
+            json[names[policy]][figure.title] = spreadJson(spread(policy, figure.value));
+        }
+        json["ratio"][figure.title] = spreadJson(ratio(figure.value));
+    }
+    return json;
+}
+
+std::string CompareRounds::Result::table() const
+{
+    constexpr int titleWidth = 14;
+    constexpr int valueWidth = 28;
+    std::ostringstream text;
+    text << std::left << std::setw(titleWidth) << "" << std::setw(valueWidth) << names[0]
+         << std::setw(valueWidth) << names[1] << names[0] << " / " << names[1] << '\n';
+    for (const Figure &figure : figures()) {
+        text << std::setw(titleWidth) << figure.title << std::setw(valueWidth)
+             << spreadText(spread(0, figure.value)) << std::setw(valueWidth)
+             << spreadText(spread(1, figure.value)) << spreadText(ratio(figure.value)) << '\n';
+    }
+    return text.str();
+}
+
+std::string CompareRounds::Result::plotData() const
+{
+    std::ostringstream text;
+    text << "# round";
+    for (const std::string &name : names) {
+        text << ' ' << name << "-p50 " << name << "-p90 " << name << "-p99";
+    }
+    text << '\n';
+    for (std::size_t index = 0; index < rounds[0].size(); ++index) {
+        text << index + 1;
+        for (const auto &policy : rounds) {
+            for (const double quantile : {p50, p90, p99}) {
+                text << ' ' << quantileMs(policy[index], quantile);
+            }
+        }
+        text << '\n';
+    }
+    return text.str();
+}
+
+} // namespace pimentoward::standins
--- /dev/null
+++ b/standins/DeploymentProcesses.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "Pimentoward/Connection/HttpConnection.h"
+#include "standins/Deployment.h"
+#include "standins/ProcessGroup.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <string>
+#include <vector>
+
+struct event_base;
+
+namespace pimentoward::standins {
+
+/// A whole deployment as real processes: one stand-in platform, one stand-in for the backend
+/// servers of each failure domain, one pimentod a VM. For bench programs.
+class DeploymentProcesses
+{
+public:
+    struct Settings
+    {
+        /// Deployment file; its hosts are loopback addresses that nobody else uses.
+        std::string file;
+        /// Folder of the built programs.
+        std::string programs = "build";
+        std::string logFolder = "out/bench";
+        Address platform {"127.31.0.1", 7000};
+        /// Further flags of standin-backend and pimentod.
+        std::vector<std::string> backendFlags;
+        std::vector<std::string> vmFlags;
+        /// Further flags of the stand-in of one failure domain.
+        std::map<FailureDomain, std::vector<std::string>> domainFlags;
+    };
+
+    /// Reads the file; throws std::runtime_error where that fails. Starts nothing.
+    explicit DeploymentProcesses(const Settings &settings);
+
+    /// Starts everything and waits until all VMs are ready; throws std::runtime_error after 30 s.
+    void start(event_base *loop);
+    void startStandins(event_base *loop);
+    void startVm(const VmRecord &vm);
+    void waitUntilReady(event_base *loop) const;
+    void stop() { m_processes.stopAll(); }
+
+    const Deployment &deployment() const { return m_deployment; }
+    ProcessGroup &processes() { return m_processes; }
+    std::vector<ServiceCatalog> catalogs() const;
+    static Address callerAddress(const VmRecord &vm);
+    static Address operatorAddress(const VmRecord &vm);
+    std::vector<Address> callerAddresses() const;
+    /// Processor time of all VMs so far.
+    Duration vmCpuTime() const;
+
+    /// Runs the loop for one call; status 0 and the reason's text where no answer came.
+    static HttpAnswer call(event_base *loop, const Address &address, const HttpCall &call);
+    /// One order to the stand-in platform, such as {"mode":"down"}; throws where it is refused.
+    void orderPlatform(event_base *loop, const nlohmann::json &order) const;
+    const Address &platform() const { return m_settings.platform; }
+
+private:
+    Settings m_settings;
+    Deployment m_deployment;
+    ProcessGroup m_processes;
+};
+
+} // namespace pimentoward::standins
--- /dev/null
+++ b/tests/standins/DirectFanoutTest.cpp
@@ -0,0 +1,84 @@
+#include "standins/DirectFanout.h"
+#include "standins/BackendServerProcess.h"
+#include "standins/Deployment.h"
+
+#include <catch2/catch.hpp>
+#include <event2/event.h>
+#include <unistd.h>
+
+using namespace pimentoward;
+using namespace pimentoward::standins;
+
+namespace {
+
+/// Four shards of one replica with one slot each, on an address of this process.
+Deployment smallDeployment()
+{
+    Deployment deployment;
+    const auto process = static_cast<unsigned>(getpid());
+    const std::string host = "127.192." + std::to_string(process % 250) + "."
+        + std::to_string(process / 250 % 250 + 1);
+    deployment.failureDomains.push_back({"a", host});
+    ServiceShape shape;
+    shape.name = "coach-app";
+    shape.recordKind = "badges";
+    shape.records = 100;
+    shape.shards = 4;
+    shape.replicas = 1;
+    shape.slots = 1;
+    shape.firstPort = 21000;
+    shape.serviceTime = std::chrono::microseconds(2000);
+    deployment.services.push_back(shape);
+    return deployment;
+}
+
+/// Runs eight searches at one time; the most that any backend server had at work at once.
+int mostConcurrent(event_base *loop, std::size_t vms)
+{
+    const Deployment deployment = smallDeployment();
+    const ServiceShape &shape = deployment.services.front();
+    const ServiceCatalog catalog = deployment.catalog(shape, 1);
+    const auto records = std::make_shared<const RecordSet>(
+        RecordSet::ofKind(shape.recordKind, shape.seed, shape.records));
+    std::vector<std::unique_ptr<BackendServerProcess>> servers;
+    for (const auto &[id, description] : catalog.backendServers) {
+        BackendServerModel::Settings model;
+        model.slots = shape.slots;
+        model.serviceTime = shape.serviceTime;
+        servers.push_back(
+            std::make_unique<BackendServerProcess>(loop, description, catalog, records, model));
+        Reason reason;
+        REQUIRE(servers.back()->listen(reason));
+    }
+    DirectFanout::Settings settings;
+    settings.vms = vms;
+    DirectFanout fanout(loop, {catalog}, settings);
+    constexpr std::size_t searches = 8;
+    PlannedRequest search;
+    search.service = shape.name;
+    search.isSearch = true;
+    search.backendBody = R"({"field":"pool","value":"pool-000001"})";
+    search.deadline = std::chrono::seconds(10);
+    const auto samples = LoadRunner::run(
+        loop, std::vector<PlannedRequest>(searches, search),
+        [&fanout](const auto &request, auto done) { fanout.send(request, std::move(done)); });
+    for (const LoadSample &sample : samples) {
+        CHECK(sample.outcome.isWhole());
+    }
+    CHECK(fanout.subrequests() == searches * shape.shards);
+    int most = 0;
+    for (const auto &server : servers) {
+        most = std::max(most, server->model().mostConcurrent());
+    }
+    return most;
+}
+
+} // namespace
+
+TEST_CASE("Direct VMs keep their own limit but overrun the slots together", "[bench]")
+{
+    event_base *loop = event_base_new();
+    CHECK(mostConcurrent(loop, 1) == 1);
+    CHECK(mostConcurrent(loop, 4) == 4);
+    event_base_free(loop);
+}
