--- /dev/null
+++ b/standins/ScenarioProcesses.cpp
@@ -0,0 +1,329 @@
+#include "standins/ScenarioProcesses.h"
+
+#include "Pimentoward/Process/Timer.h"
+#include "standins/CallerTargets.h"
+#include "standins/RunRecordsChecker.h"
+
+#include <event2/event.h>
+
+#include <csignal>
+#include <stdexcept>
+
+namespace pimentoward::standins {
+
+namespace {
+
+using Json = nlohmann::json;
+
+/// Scenarios have addresses of their own, so that benches may run at the same time.
+const Address platformAddress {"127.41.0.1", 7000};
+constexpr std::chrono::seconds longestLoad {120};
+constexpr std::chrono::seconds longestCall {30};
+constexpr double millisecondsPerSecond = 1000;
+
+std::chrono::milliseconds seconds(const Json &value)
+{
+    return std::chrono::milliseconds(
+        static_cast<std::int64_t>(value.get<double>() * millisecondsPerSecond));
+}
+
+/// Idempotency keys that a backend server ran more than once.
+Json doubleRuns(const std::map<std::string, unsigned> &runsByKey)
+{
+    Json result = Json::array();
+    for (const auto &[key, runs] : runsByKey) {
+        if (runs > 1) {
+            result.push_back(key);
+        }
+    }
+    return result;
+}
+
+} // namespace
+
+struct ScenarioProcesses::State
+{
+    event_base *loop = nullptr;
+    Settings settings;
+    std::unique_ptr<DeploymentProcesses> deployment;
+    std::vector<PlannedRequest> plan;
+    std::unique_ptr<CallerTargets> targets;
+    std::vector<LoadSample> samples;
+    std::size_t nextSend = 0;
+    std::size_t ended = 0;
+    SteadyTime loadStart {};
+    std::unique_ptr<Timer> sender;
+
+    DeploymentProcesses &started()
+    {
+        if (deployment == nullptr) {
+            throw std::runtime_error("start{...} comes first");
+        }
+        return *deployment;
+    }
+
+    Duration sinceLoadStart() const { return std::chrono::steady_clock::now() - loadStart; }
+
+    void sendDue()
+    {
+        while (nextSend < plan.size() && plan[nextSend].at <= sinceLoadStart()) {
+            const std::size_t index = nextSend++;
+            LoadSample &sample = samples[index];
+            sample.intended = plan[index].at;
+            sample.sent = sinceLoadStart();
+            targets->send(plan[index], [this, index](const LoadOutcome &outcome) {
+                samples[index].ended = sinceLoadStart();
+                samples[index].outcome = outcome;
+                ++ended;
+            });
+        }
+    }
+};
+
+ScenarioProcesses::ScenarioProcesses(event_base *loop, const Settings &settings)
+    : m_state(std::make_unique<State>())
+{
+    m_state->loop = loop;
+    m_state->settings = settings;
+}
+
+ScenarioProcesses::~ScenarioProcesses() = default;
+
+void ScenarioProcesses::addVerbs(ScenarioLanguage &language)
+{
+    addProcessVerbs(language);
+    addRequestVerbs(language);
+    addOutsideVerbs(language);
+}
+
+void ScenarioProcesses::addProcessVerbs(ScenarioLanguage &language)
+{
+    language.add("start", [this](const Json &arguments) {
+        DeploymentProcesses::Settings settings;
+        settings.file = arguments.at(0).at("deployment").get<std::string>();
+        settings.platform = platformAddress;
+        settings.programs = m_state->settings.programs;
+        settings.logFolder = m_state->settings.logFolder;
+        settings.vmFlags = arguments.at(0).value("vmFlags", std::vector<std::string>());
+        settings.backendFlags = arguments.at(0).value("backendFlags", std::vector<std::string>());
+        m_state->deployment = std::make_unique<DeploymentProcesses>(settings);
+        m_state->deployment->start(m_state->loop);
+        return Json();
+    });
+    const auto signalVerb = [&](const std::string &name, int number) {
+        language.add(name, [this, number](const Json &arguments) {
+            m_state->started().processes().signal(arguments.at(0).get<std::string>(), number);
+            return Json();
+        });
+    };
+    signalVerb("freeze", SIGSTOP);
+    signalVerb("resume", SIGCONT);
+    language.add("kill", [this](const Json &arguments) {
+        const auto name = arguments.at(0).get<std::string>();
+        m_state->started().processes().signal(name, SIGKILL);
+        return Json(m_state->started().processes().wait(name, longestCall));
+    });
+    // A planned stop: the exit status must be 0.
+    language.add("drain", [this](const Json &arguments) {
+        const auto name = arguments.at(0).get<std::string>();
+        ProcessGroup &processes = m_state->started().processes();
+        processes.signal(name, SIGTERM);
+        const SteadyTime limit = std::chrono::steady_clock::now() + std::chrono::minutes(1);
+        while (processes.isRunning(name) && std::chrono::steady_clock::now() < limit) {
+            wait(std::chrono::milliseconds(20));
+        }
+        return Json(processes.wait(name, longestCall));
+    });
+    language.add("restart", [this](const Json &arguments) {
+        m_state->started().startVm(vm(arguments.at(0).get<std::string>()));
+        return Json();
+    });
+    language.add("wait", [this](const Json &arguments) {
+        wait(seconds(arguments.at(0)));
+        return Json();
+    });
+    language.add("ready", [this](const Json &) {
+        m_state->started().waitUntilReady(m_state->loop);
+        return Json();
+    });
+    language.add("expect", [](const Json &arguments) {
+        if (!arguments.at(0).is_boolean() || !arguments.at(0).get<bool>()) {
+            throw std::runtime_error("expected: "
+                                     + (arguments.size() > 1 ? arguments.at(1).dump() : ""));
+        }
+        return Json();
+    });
+}
+
+void ScenarioProcesses::addRequestVerbs(ScenarioLanguage &language)
+{
+    language.add("query", [this](const Json &arguments) {
+        const auto address
+            = DeploymentProcesses::callerAddress(vm(arguments.at(0).get<std::string>()));
+        return post(address, "/query", arguments.at(1));
+    });
+    language.add("order", [this](const Json &arguments) {
+        const auto address
+            = DeploymentProcesses::callerAddress(vm(arguments.at(0).get<std::string>()));
+        Json body = arguments.at(1);
+        const auto expiry = std::chrono::system_clock::now() + std::chrono::hours(1);
+        body.emplace(
+            "expiresAtMs",
+            std::chrono::duration_cast<std::chrono::milliseconds>(expiry.time_since_epoch())
+                .count());
+        body.emplace("content", Json {{"lot", 1}});
+        return post(address, "/order", body);
+    });
+    language.add("load", [this](const Json &arguments) {
+        startLoad(arguments.at(0));
+        return Json();
+    });
+    language.add("finish", [this](const Json &) { return finishLoad(); });
+    language.add("records", [this](const Json &) { return runRecords(); });
+}
+
+void ScenarioProcesses::addOutsideVerbs(ScenarioLanguage &language)
+{
+    // "up", "down", "silent" or "lose-answers", with a delay in seconds.
+    language.add("store", [this](const Json &arguments) {
+        const auto delay = arguments.size() > 1 ? seconds(arguments.at(1)).count() : 0;
+        m_state->started().orderPlatform(
+            m_state->loop, {{"mode", arguments.at(0).get<std::string>()}, {"delayMs", delay}});
+        return Json();
+    });
+    language.add("platform", [this](const Json &arguments) {
+        m_state->started().orderPlatform(m_state->loop, arguments.at(0));
+        return Json();
+    });
+    // One order to a backend server's control endpoint.
+    language.add("backend", [this](const Json &arguments) {
+        const auto id = arguments.at(0).get<std::string>();
+        for (const ServiceCatalog &catalog : m_state->started().catalogs()) {
+            if (const auto found = catalog.backendServers.find(id);
+                found != catalog.backendServers.end()) {
+                return post(found->second.address, "/control", arguments.at(1));
+            }
+        }
+        throw std::runtime_error("there is no backend server '" + id + "'");
+    });
+    // A change of the operators' settings at one VM.
+    language.add("set", [this](const Json &arguments) {
+        const auto address
+            = DeploymentProcesses::operatorAddress(vm(arguments.at(0).get<std::string>()));
+        return post(address, "/settings", arguments.at(1));
+    });
+    language.add("state", [this](const Json &arguments) {
+        const auto address
+            = DeploymentProcesses::operatorAddress(vm(arguments.at(0).get<std::string>()));
+        const HttpAnswer answer = DeploymentProcesses::call(m_state->loop, address,
+                                                            {"GET", "/state", {}, {}, longestCall});
+        return Json::parse(answer.body);
+    });
+}
+
+void ScenarioProcesses::wait(Duration time)
+{
+    bool over = false;
+    Timer timer(m_state->loop, [&over] { over = true; });
+    timer.startOnce(time);
+    while (!over) {
+        event_base_loop(m_state->loop, EVLOOP_ONCE);
+    }
+}
+
+void ScenarioProcesses::startLoad(const Json &options)
+{
+    std::vector<LoadPlan::Settings> loads;
+    for (const ServiceShape &shape : m_state->started().deployment().services) {
+        LoadPlan::Settings load;
+        load.service = shape.name;
+        load.recordKind = shape.recordKind;
+        load.records = shape.records;
+        load.rate = options.at("rate").get<double>();
+        load.length = seconds(options.at("seconds"));
+        load.searchShare = options.value("searchShare", 1.0);
+        load.eveningShare = options.value("eveningShare", 0.0);
+        load.deadline = seconds(options.value("deadline", Json(1.0)));
+        load.seed = m_state->settings.seed;
+        loads.push_back(load);
+    }
+    CallerTargets::Settings targets;
+    targets.probePeriod = std::chrono::milliseconds(200);
+    m_state->plan = LoadPlan::make(loads);
+    m_state->samples.assign(m_state->plan.size(), {});
+    m_state->nextSend = 0;
+    m_state->ended = 0;
+    m_state->targets = std::make_unique<CallerTargets>(
+        m_state->loop, m_state->started().callerAddresses(), targets);
+    m_state->loadStart = std::chrono::steady_clock::now();
+    m_state->sender
+        = std::make_unique<Timer>(m_state->loop, [state = m_state.get()] { state->sendDue(); });
+    m_state->sender->startRepeating(std::chrono::milliseconds(1));
+}
+
+ScenarioProcesses::Json ScenarioProcesses::finishLoad()
+{
+    const SteadyTime limit = std::chrono::steady_clock::now() + longestLoad;
+    while (m_state->ended < m_state->plan.size() && std::chrono::steady_clock::now() < limit) {
+        wait(std::chrono::milliseconds(20));
+    }
+    m_state->sender.reset();
+    const CallerReport report(m_state->samples);
+    Json result = report.toJson();
+    result["errors"] = report.errors();
+    result["verdict"] = runRecords();
+    return result;
+}
+
+ScenarioProcesses::Json ScenarioProcesses::runRecords()
+{
+    RunRecordsChecker checker;
+    std::map<std::string, unsigned> runsByKey;
+    std::map<FailureDomain, std::size_t> runsByDomain;
+    for (const ServiceCatalog &catalog : m_state->started().catalogs()) {
+        for (const auto &[id, server] : catalog.backendServers) {
+            const HttpAnswer answer = DeploymentProcesses::call(
+                m_state->loop, server.address, {"GET", "/records", {}, {}, longestCall});
+            checker.addBackend(answer.body);
+            const Json dump = Json::parse(answer.body);
+            runsByDomain[server.failureDomain] += dump.at("runs").size();
+            for (const Json &run : dump.at("runs")) {
+                if (const std::string key = run.value("idempotencyKey", ""); !key.empty()) {
+                    ++runsByKey[key];
+                }
+            }
+        }
+    }
+    const std::size_t shards = m_state->started().deployment().services.front().shards;
+    Json result = RunRecordsChecker::toJson(checker.check(m_state->samples, shards));
+    result["doubleRuns"] = doubleRuns(runsByKey);
+    result["runsByKey"] = runsByKey;
+    result["runsByDomain"] = runsByDomain;
+    return result;
+}
+
+ScenarioProcesses::Json ScenarioProcesses::post(const Address &address, const std::string &path,
+                                                const Json &body)
+{
+    const HttpAnswer answer = DeploymentProcesses::call(
+        m_state->loop, address, {"POST", path, {}, body.dump(), longestCall});
+    constexpr bool throwOnError = false;
+    Json result = Json::parse(answer.body, nullptr, throwOnError);
+    if (!result.is_object()) {
+        result = Json {{"text", answer.body}};
+    }
+    result["httpStatus"] = answer.status;
+    return result;
+}
+
+const VmRecord &ScenarioProcesses::vm(const std::string &name) const
+{
+    for (const VmRecord &record : m_state->started().deployment().vms) {
+        if (record.id == name) {
+            return record;
+        }
+    }
+    throw std::runtime_error("there is no VM '" + name + "'");
+}
+
+} // namespace pimentoward::standins
--- /dev/null
+++ b/tests/scenarios/lost_vm.lua
@@ -0,0 +1,8 @@
+-- A VM is lost under load; once its backend servers have other owners every answer is whole.
+start{deployment = "deployments/scenario.json"}
+kill("vm-3")
+wait(7)
+load{rate = 40, seconds = 4}
+local report = finish()
+expect(report.whole == report.count, "whole answers: " .. report.whole .. " of " .. report.count)
+expect(report.verdict.aboveSlots == 0, "work above the slots: " .. report.verdict.aboveSlots)
