Decide membership, quorum contact, grants and ownership without I/O

Change: decision classes with typed messages and the time as input. QuorumContact counts echoes of own heartbeats from their sending; GrantTable keeps one owner a backend server for contact time + longest dispatch + 3 %; OwnershipDecision asks, owns, drains and hands over; MemberList gives the next change; MembershipPeers guesses who is alive from contact masks; Membership combines them. Differences from DESIGN.md: the wait for the former owner's longest dispatch is part of the granter's hold (one place, no second state); a release by handover or by lost permission waits until the owner's last work has ended; a proposer counts as holder of the epoch only members heard of late whose same run has told it for a whole hold time; echoes and grants of members with a newer list do not count for an older one.

--- /dev/null
+++ b/src/Pimentoward/Process/GrantTable.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "Pimentoward/Process/MembershipSettings.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace pimentoward {
+
+/// What this member grants: each backend server to one owner at a time, until the owner hands it
+/// over or has been silent for the hold time.
+class GrantTable
+{
+public:
+    /// One heartbeat that asks.
+    struct Ask
+    {
+        MemberId owner;
+        Incarnation incarnation = 0;
+        std::uint64_t sequence = 0;
+    };
+    /// Place of a member in the order of preference for a backend server; 0 is the first.
+    using RankHook = std::function<std::size_t(const BackendServerId &, const MemberId &)>;
+
+    /// `startedAt`: what was granted before is forgotten, so the table waits a hold time from here.
+    GrantTable(const MembershipSettings &settings, SteadyTime startedAt, RankHook rank);
+
+    /// Takes a heartbeat's asks (sorted): renews and gives grants, and takes back what the owner no
+    /// longer asks for.
+    void onAsks(const Ask &ask, const std::vector<BackendServerId> &asked, SteadyTime now);
+    /// A new run of `owner` proves that the former one dispatches no more; only its last
+    /// dispatches may still be at work.
+    void onNewIncarnation(const MemberId &owner, SteadyTime now);
+    /// Gives what has become free to members that wait for it. To be called often.
+    void onTimer(SteadyTime now);
+    /// Owners that have been given something since the last call.
+    std::set<MemberId> takeNewlyGranted();
+    /// What `owner` is granted on behalf of the heartbeat that is about to be echoed; sorted.
+    std::vector<BackendServerId> grantsFor(const Ask &echoed) const;
+    /// Number of backend servers granted to anyone at present.
+    std::size_t grantedCount(SteadyTime now) const;
+
+private:
+    struct Holder
+    {
+        Ask ask;
+        SteadyTime keptUntil {};
+    };
+    struct Waiter
+    {
+        Ask ask;
+        SteadyTime askedAt {};
+    };
+    struct Entry
+    {
+        std::optional<Holder> holder;
+        std::map<MemberId, Waiter> waiting;
+    };
+
+    bool mayGrant(SteadyTime now) const;
+    void give(Entry &entry, const Ask &ask, SteadyTime now);
+    void giveToBestWaiter(const BackendServerId &id, Entry &entry, SteadyTime now);
+
+    MembershipSettings m_settings;
+    SteadyTime m_startedAt;
+    RankHook m_rank;
+    std::map<BackendServerId, Entry> m_entries;
+    std::set<MemberId> m_newlyGranted;
+};
+
+} // namespace pimentoward
--- /dev/null
+++ b/src/Pimentoward/Process/MemberList.cpp
@@ -0,0 +1,73 @@
+#include "Pimentoward/Process/MemberList.h"
+
+#include <iterator>
+
+namespace pimentoward {
+
+MemberList::MemberList(const MembershipSettings &settings)
+    : m_settings(settings)
+{ }
+
+bool MemberList::adopt(const MemberRecord &record)
+{
+    if (record.epoch <= m_record.epoch) {
+        return false;
+    }
+    m_record = record;
+    return true;
+}
+
+std::optional<std::size_t> MemberList::placeOf(const MemberId &member) const
+{
+    const auto found = m_record.members.find(member);
+    if (found == m_record.members.end()) {
+        return std::nullopt;
+    }
+    return static_cast<std::size_t>(std::distance(m_record.members.begin(), found));
+}
+
+std::vector<RendezvousHash::Candidate> MemberList::candidates() const
+{
+    std::vector<RendezvousHash::Candidate> result;
+    for (const auto &[id, member] : m_record.members) {
+        result.push_back({id, member.failureDomain});
+    }
+    return result;
+}
+
+std::optional<MemberRecord> MemberList::nextChange(const Wishes &wishes, std::size_t holders) const
+{
+    // Owners of the list before have stopped once more than half have held this one for the hold
+    // time; lists two changes apart share no majority.
+    if (m_record.epoch == 0 || holders < quorum()) {
+        return std::nullopt;
+    }
+    MemberRecord next = m_record;
+    ++next.epoch;
+    for (const MemberId &member : wishes.gone) {
+        if (next.members.size() > 1 && next.members.erase(member) > 0) {
+            return next;
+        }
+    }
+    for (const auto &[id, member] : wishes.joining) {
+        if (wishes.gone.count(id) == 0 && next.members.emplace(id, member).second) {
+            return next;
+        }
+    }
+    return std::nullopt;
+}
+
+MemberRecord MemberList::first(const Member &self, const std::vector<VmRecord> &vms)
+{
+    MemberRecord record;
+    record.epoch = 1;
+    for (const VmRecord &vm : vms) {
+        if (!vm.leaving) {
+            record.members[vm.id] = {vm.id, vm.host, vm.failureDomain};
+        }
+    }
+    record.members[self.id] = self;
+    return record;
+}
+
+} // namespace pimentoward
--- /dev/null
+++ b/src/Pimentoward/Process/Membership.cpp
@@ -0,0 +1,378 @@
+#include "Pimentoward/Process/Membership.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace pimentoward {
+
+namespace {
+
+constexpr int absencesThatCount = 2;
+
+std::set<MemberId> idsOf(const MemberRecord &record)
+{
+    std::set<MemberId> ids;
+    for (const auto &[id, member] : record.members) {
+        ids.insert(id);
+    }
+    return ids;
+}
+
+} // namespace
+
+Membership::Membership(const MembershipSettings &settings, const Member &self,
+                       Incarnation incarnation, SteadyTime startedAt)
+    : m_settings(settings)
+    , m_self(self)
+    , m_incarnation(incarnation)
+    , m_list(settings)
+    , m_peers(settings, self.id)
+    , m_contact(settings, self.id)
+    , m_ownership(settings, self.id)
+    , m_grants(settings, startedAt, [this](const BackendServerId &id, const MemberId &member) {
+        return m_ownership.rankOf(id, member);
+    })
+{ }
+
+void Membership::updateBackendServers(const std::map<BackendServerId, FailureDomain> &servers)
+{
+    m_ownership.updateBackendServers(servers);
+}
+
+void Membership::updateSettings(Revision revision, bool isNewest)
+{
+    m_settingsRevision = revision;
+    m_settingsAreNewest = isNewest;
+}
+
+void Membership::onStoredList(const MemberRecord &record, SteadyTime now)
+{
+    m_listIsNewest = true;
+    onMemberList(record, now);
+}
+
+void Membership::onMemberList(const MemberRecord &record, SteadyTime now)
+{
+    if (!m_list.adopt(record)) {
+        return;
+    }
+    m_listSince = now;
+    m_contact.updateMembers(idsOf(m_list.record()));
+    m_ownership.updateMembers(m_list.candidates());
+    m_urgentAll = true;
+}
+
+void Membership::onVmList(const std::vector<VmRecord> &vms)
+{
+    m_vms.clear();
+    for (const VmRecord &vm : vms) {
+        m_vms[vm.id] = vm;
+    }
+    for (const auto &[id, member] : m_list.record().members) {
+        m_absences[id] = m_vms.count(id) > 0 ? 0 : m_absences[id] + 1;
+    }
+    if (const auto own = m_vms.find(m_self.id); own != m_vms.end() && own->second.leaving) {
+        leave();
+    }
+}
+
+void Membership::leave()
+{
+    m_urgentAll |= !m_leaving;
+    m_leaving = true;
+}
+
+Membership::Actions Membership::onHeartbeat(const Heartbeat &heartbeat, SteadyTime now)
+{
+    const auto arrival = m_peers.take(heartbeat, now);
+    if (arrival == MembershipPeers::Arrival::Stale) {
+        return {};
+    }
+    if (arrival == MembershipPeers::Arrival::NewRun) {
+        m_contact.forget(heartbeat.from);
+        m_ownership.forgetGranter(heartbeat.from);
+        m_grants.onNewIncarnation(heartbeat.from, now);
+        m_urgentPeers.insert(heartbeat.from);
+    }
+    Actions actions;
+    if (heartbeat.epoch < m_list.epoch()) {
+        actions.push_back(SendMemberList {heartbeat.from, m_list.record()});
+    }
+    noteReadiness(heartbeat);
+    countEcho(heartbeat, now);
+    takeAsks(heartbeat, now);
+    decideAndGrant(now);
+    for (Action &action : sendDue(now)) {
+        actions.push_back(std::move(action));
+    }
+    return actions;
+}
+
+void Membership::noteReadiness(const Heartbeat &heartbeat)
+{
+    if (m_listIsNewest) {
+        return;
+    }
+    // Only what was sent after this run began tells of the present.
+    const bool isFresh = heartbeat.echo && heartbeat.echo->incarnation == m_incarnation;
+    if (heartbeat.ready && isFresh) {
+        m_heardReady.insert(heartbeat.from);
+        m_newestEpochHeard = std::max(m_newestEpochHeard, heartbeat.epoch);
+    }
+    std::size_t heard = 0;
+    for (const MemberId &member : m_heardReady) {
+        heard += m_list.contains(member) && member != m_self.id ? 1 : 0;
+    }
+    const bool hasQuorum = heard >= m_list.quorum();
+    m_listIsNewest = m_list.epoch() > 0 && m_list.epoch() >= m_newestEpochHeard
+        && (hasQuorum || !m_settings.waitsForNewestList);
+}
+
+void Membership::countEcho(const Heartbeat &heartbeat, SteadyTime now)
+{
+    // A member of a newer list counts no longer for this one: lists two apart share no majority.
+    const bool counts = isReady() && heartbeat.ready && m_list.contains(heartbeat.from)
+        && heartbeat.epoch <= m_list.epoch();
+    if (!counts) {
+        return;
+    }
+    if (!m_settings.needsRoundTrip) {
+        m_contact.onEcho(heartbeat.from, now);
+        m_ownership.onGrants(heartbeat.from, m_sequence, now, heartbeat.granted);
+        return;
+    }
+    if (!heartbeat.echo || heartbeat.echo->incarnation != m_incarnation) {
+        return;
+    }
+    const std::uint64_t sequence = heartbeat.echo->sequence;
+    if (const auto sentAt = m_sent.sentAt(sequence)) {
+        m_contact.onEcho(heartbeat.from, *sentAt);
+        m_ownership.onGrants(heartbeat.from, sequence, *sentAt, heartbeat.granted);
+    }
+}
+
+void Membership::takeAsks(const Heartbeat &heartbeat, SteadyTime now)
+{
+    const bool counts = isReady() && heartbeat.ready && m_list.contains(heartbeat.from)
+        && heartbeat.serversReadable;
+    if (counts) {
+        m_grants.onAsks({heartbeat.from, heartbeat.incarnation, heartbeat.sequence},
+                        heartbeat.asked, now);
+    }
+}
+
+void Membership::decideAndGrant(SteadyTime now)
+{
+    if (!isReady() || !m_list.contains(m_self.id)) {
+        return;
+    }
+    const bool hasContact = now < m_contact.contactUntil(now);
+    m_peers.refresh(
+        m_list, hasContact && !m_leaving ? std::optional(ownContactMask(now)) : std::nullopt, now);
+    decide(now);
+    takeOwnAsks(now);
+    m_grants.onTimer(now);
+    for (const MemberId &owner : m_grants.takeNewlyGranted()) {
+        m_urgentPeers.insert(owner);
+    }
+}
+
+void Membership::decide(SteadyTime now)
+{
+    OwnershipDecision::Peers view;
+    view.isAlive = [this](const MemberId &member) { return m_peers.isAlive(member); };
+    view.isStable = [this, now](const MemberId &member) { return m_peers.isStable(member, now); };
+    view.asksFor = [this](const MemberId &member, const BackendServerId &id) {
+        return m_peers.asksFor(member, id);
+    };
+    view.isQuiet = m_isQuiet;
+    view.selfLeaving = m_leaving;
+    m_urgentAll |= m_ownership.decide(view, m_sequence + 1, now);
+}
+
+void Membership::takeOwnAsks(SteadyTime now)
+{
+    // This member counts as one of its own granters; its heartbeat to itself takes no time.
+    const GrantTable::Ask ask {m_self.id, m_incarnation, m_sequence + 1};
+    m_grants.onAsks(ask, m_ownership.asked(), now);
+    m_ownership.onGrants(m_self.id, ask.sequence, now, m_grants.grantsFor(ask));
+}
+
+Membership::Actions Membership::tick(SteadyTime now)
+{
+    m_sent.forgetBefore(now - m_settings.contactTime);
+    decideAndGrant(now);
+    return sendDue(now);
+}
+
+std::set<MemberId> Membership::receivers(SteadyTime now) const
+{
+    std::set<MemberId> result = idsOf(m_list.record());
+    // VMs that wish to join, and members of a list that this process does not know yet.
+    for (const auto &[id, peer] : m_peers.all()) {
+        if (m_peers.isHeard(id, now)) {
+            result.insert(id);
+        }
+    }
+    for (const auto &[id, vm] : m_vms) {
+        result.insert(id);
+    }
+    result.erase(m_self.id);
+    return result;
+}
+
+Membership::Actions Membership::sendDue(SteadyTime now)
+{
+    Actions actions;
+    const bool isSpaced = now >= m_lastSent + m_settings.urgentSpacing;
+    if (now >= m_nextHeartbeat || (m_urgentAll && isSpaced)) {
+        // A late tick does not shift the rhythm by more than its own lateness.
+        m_nextHeartbeat = now + m_settings.heartbeatPeriod;
+        m_urgentAll = false;
+        m_urgentPeers.clear();
+        for (const MemberId &peer : receivers(now)) {
+            send(peer, now, actions);
+        }
+    } else if (!m_urgentPeers.empty() && isSpaced) {
+        for (const MemberId &peer : std::exchange(m_urgentPeers, {})) {
+            if (peer != m_self.id) {
+                send(peer, now, actions);
+            }
+        }
+    }
+    return actions;
+}
+
+void Membership::send(const MemberId &peer, SteadyTime now, Actions &actions)
+{
+    ++m_sequence;
+    m_sent.record(m_sequence, now);
+    m_lastSent = now;
+    actions.push_back(SendHeartbeat {peer, heartbeatTo(peer, now)});
+}
+
+Heartbeat Membership::heartbeatTo(const MemberId &peer, SteadyTime now) const
+{
+    Heartbeat heartbeat;
+    heartbeat.from = m_self.id;
+    heartbeat.incarnation = m_incarnation;
+    heartbeat.sequence = m_sequence;
+    heartbeat.epoch = m_list.epoch();
+    heartbeat.settingsRevision = m_settingsRevision;
+    heartbeat.ready = isReady();
+    heartbeat.leaving = m_leaving;
+    heartbeat.contactMask = ownContactMask(now);
+    for (const auto &[id, until] : m_ownership.owned(now)) {
+        heartbeat.owned.push_back(id);
+    }
+    heartbeat.asked = m_ownership.asked();
+    if (const MembershipPeers::Peer *known = m_peers.find(peer)) {
+        heartbeat.echo = HeartbeatEcho {known->incarnation, known->lastSequence};
+        // A member that lacks the newest list or settings grants nothing.
+        if (isReady()) {
+            heartbeat.granted = m_grants.grantsFor({peer, known->incarnation, known->lastSequence});
+        }
+    }
+    return heartbeat;
+}
+
+std::uint64_t Membership::ownContactMask(SteadyTime now) const
+{
+    std::uint64_t mask = 0;
+    std::size_t place = 0;
+    for (const auto &[id, member] : m_list.record().members) {
+        const bool isNear
+            = id == m_self.id || now < m_contact.lastEcho(id) + m_settings.silenceTime;
+        mask |= isNear ? std::uint64_t {1} << place : 0;
+        ++place;
+    }
+    return mask;
+}
+
+SteadyTime Membership::contactUntil(SteadyTime now) const
+{
+    return isReady() ? m_contact.contactUntil(now) : SteadyTime {};
+}
+
+std::map<BackendServerId, SteadyTime> Membership::ownedUntil(SteadyTime now) const
+{
+    if (now >= contactUntil(now)) {
+        return {};
+    }
+    return m_ownership.owned(now);
+}
+
+std::map<BackendServerId, MemberId> Membership::owners(SteadyTime now) const
+{
+    std::map<BackendServerId, MemberId> result;
+    for (const BackendServerId &id : m_ownership.servers()) {
+        const auto &ranking = m_ownership.ranking(id);
+        const auto alive
+            = std::find_if(ranking.begin(), ranking.end(),
+                           [this](const MemberId &member) { return m_peers.isAlive(member); });
+        if (alive != ranking.end()) {
+            result[id] = *alive;
+        }
+    }
+    // Whoever says that it owns goes before the guess.
+    for (const auto &[member, peer] : m_peers.all()) {
+        if (m_peers.isHeard(member, now) && m_list.contains(member)) {
+            for (const BackendServerId &id : peer.owned) {
+                result[id] = member;
+            }
+        }
+    }
+    for (const auto &[id, until] : m_ownership.owned(now)) {
+        result[id] = m_self.id;
+    }
+    return result;
+}
+
+bool Membership::isFirstAlive() const
+{
+    for (const auto &[id, member] : m_list.record().members) {
+        if (m_peers.isAlive(id)) {
+            return id == m_self.id;
+        }
+    }
+    return false;
+}
+
+MemberList::Wishes Membership::wishes(SteadyTime now) const
+{
+    MemberList::Wishes result;
+    for (const auto &[id, vm] : m_vms) {
+        const MembershipPeers::Peer *peer = m_peers.find(id);
+        const bool runs = peer != nullptr && m_peers.isHeard(id, now) && !peer->leaving;
+        if (runs && !vm.leaving && !m_list.contains(id)) {
+            result.joining[id] = {id, vm.host, vm.failureDomain};
+        }
+    }
+    for (const auto &[id, member] : m_list.record().members) {
+        const MembershipPeers::Peer *peer = m_peers.find(id);
+        const auto vm = m_vms.find(id);
+        const bool saysSo = peer != nullptr && peer->leaving;
+        const bool listSaysSo = vm != m_vms.end() && vm->second.leaving;
+        const auto absences = m_absences.find(id);
+        const bool isAbsent = absences != m_absences.end() && absences->second >= absencesThatCount;
+        // It is given the time to hand over.
+        const bool isDone = !m_peers.isHeard(id, now) || (saysSo && peer->asked.empty());
+        if (id != m_self.id && isDone && (saysSo || listSaysSo || isAbsent)) {
+            result.gone.insert(id);
+        }
+    }
+    return result;
+}
+
+std::optional<MemberRecord> Membership::proposedChange(SteadyTime now) const
+{
+    if (!isReady() || m_leaving || now >= m_contact.contactUntil(now) || !isFirstAlive()) {
+        return std::nullopt;
+    }
+    const Duration time = m_settings.spacesChanges ? m_settings.holdTime() : Duration {};
+    const bool selfHolds = now >= m_listSince + time;
+    const std::size_t holders = m_peers.holdersOf(m_list, time, now) + (selfHolds ? 1 : 0);
+    return m_list.nextChange(wishes(now), holders);
+}
+
+} // namespace pimentoward
--- /dev/null
+++ b/src/Pimentoward/Process/MembershipPeers.cpp
@@ -0,0 +1,136 @@
+#include "Pimentoward/Process/MembershipPeers.h"
+
+#include <algorithm>
+#include <bitset>
+
+namespace pimentoward {
+
+namespace {
+
+constexpr std::size_t maskBits = 64;
+
+bool hasBit(std::uint64_t mask, std::size_t place)
+{
+    return place < maskBits && ((mask >> place) & 1U) != 0;
+}
+
+} // namespace
+
+MembershipPeers::MembershipPeers(const MembershipSettings &settings, MemberId self)
+    : m_settings(settings)
+    , m_self(std::move(self))
+{ }
+
+MembershipPeers::Arrival MembershipPeers::take(const Heartbeat &heartbeat, SteadyTime now)
+{
+    Peer &peer = m_peers[heartbeat.from];
+    if (peer.formerIncarnations.count(heartbeat.incarnation) > 0) {
+        return Arrival::Stale;
+    }
+    const bool isNewRun = peer.incarnation != heartbeat.incarnation;
+    if (isNewRun) {
+        std::set<Incarnation> former = std::move(peer.formerIncarnations);
+        former.insert(peer.incarnation);
+        peer = {};
+        peer.formerIncarnations = std::move(former);
+        peer.incarnation = heartbeat.incarnation;
+    } else if (heartbeat.sequence <= peer.lastSequence) {
+        return Arrival::Stale;
+    }
+    if (isNewRun || peer.epoch != heartbeat.epoch) {
+        peer.epochSince = now;
+    }
+    peer.lastSequence = heartbeat.sequence;
+    peer.heardAt = now;
+    peer.epoch = heartbeat.epoch;
+    peer.settingsRevision = heartbeat.settingsRevision;
+    peer.contactMask = heartbeat.contactMask;
+    peer.ready = heartbeat.ready;
+    peer.leaving = heartbeat.leaving;
+    if (heartbeat.serversReadable) {
+        peer.owned = heartbeat.owned;
+        peer.asked = heartbeat.asked;
+    }
+    return isNewRun ? Arrival::NewRun : Arrival::SameRun;
+}
+
+void MembershipPeers::refresh(const MemberList &list, std::optional<std::uint64_t> ownMask,
+                              SteadyTime now)
+{
+    // How many members have told that they exchange round trips with each member.
+    std::vector<std::size_t> contacts(list.record().members.size(), 0);
+    const auto countRow = [&contacts](std::uint64_t mask) {
+        for (std::size_t place = 0; place < contacts.size(); ++place) {
+            contacts[place] += hasBit(mask, place) ? 1 : 0;
+        }
+    };
+    countRow(ownMask.value_or(0));
+    for (const auto &[id, peer] : m_peers) {
+        if (list.contains(id) && peer.epoch == list.epoch() && isHeard(id, now)) {
+            countRow(peer.contactMask);
+        }
+    }
+    std::size_t place = 0;
+    for (const auto &[id, member] : list.record().members) {
+        const bool alive
+            = id == m_self ? ownMask.has_value() : looksAlive(list, id, contacts[place], now);
+        if (alive) {
+            m_aliveSince.emplace(id, now);
+        } else {
+            m_aliveSince.erase(id);
+        }
+        ++place;
+    }
+}
+
+bool MembershipPeers::looksAlive(const MemberList &list, const MemberId &member,
+                                 std::size_t contacts, SteadyTime now) const
+{
+    const Peer *peer = find(member);
+    if (peer == nullptr || !peer->ready || peer->leaving) {
+        return false;
+    }
+    if (isHeard(member, now)) {
+        const std::size_t own = std::bitset<maskBits>(peer->contactMask).count();
+        return peer->epoch != list.epoch() || own >= list.quorum();
+    }
+    // Not heard here, yet others exchange round trips with it: the fault lies between us two.
+    return contacts + 1 >= list.quorum() && contacts > 0;
+}
+
+const MembershipPeers::Peer *MembershipPeers::find(const MemberId &member) const
+{
+    const auto found = m_peers.find(member);
+    return found == m_peers.end() ? nullptr : &found->second;
+}
+
+bool MembershipPeers::isHeard(const MemberId &member, SteadyTime now) const
+{
+    const Peer *peer = find(member);
+    return peer != nullptr && now < peer->heardAt + m_settings.silenceTime;
+}
+
+bool MembershipPeers::isStable(const MemberId &member, SteadyTime now) const
+{
+    const auto found = m_aliveSince.find(member);
+    return found != m_aliveSince.end() && now >= found->second + m_settings.stableTime;
+}
+
+bool MembershipPeers::asksFor(const MemberId &member, const BackendServerId &id) const
+{
+    const Peer *peer = find(member);
+    return peer != nullptr && std::binary_search(peer->asked.begin(), peer->asked.end(), id);
+}
+
+std::size_t MembershipPeers::holdersOf(const MemberList &list, Duration time, SteadyTime now) const
+{
+    std::size_t holders = 0;
+    for (const auto &[id, peer] : m_peers) {
+        const bool holds = id != m_self && list.contains(id) && peer.epoch == list.epoch()
+            && isHeard(id, now) && now >= peer.epochSince + time;
+        holders += holds ? 1 : 0;
+    }
+    return holders;
+}
+
+} // namespace pimentoward
--- /dev/null
+++ b/src/Pimentoward/Process/OwnershipDecision.cpp
@@ -0,0 +1,227 @@
+#include "Pimentoward/Process/OwnershipDecision.h"
+
+#include <algorithm>
+
+namespace pimentoward {
+
+OwnershipDecision::OwnershipDecision(const MembershipSettings &settings, MemberId self)
+    : m_settings(settings)
+    , m_self(std::move(self))
+{ }
+
+void OwnershipDecision::updateMembers(const std::vector<RendezvousHash::Candidate> &members)
+{
+    m_members = members;
+    rankAll();
+}
+
+void OwnershipDecision::updateBackendServers(
+    const std::map<BackendServerId, FailureDomain> &servers)
+{
+    for (auto entry = m_entries.begin(); entry != m_entries.end();) {
+        entry = servers.count(entry->first) > 0 ? std::next(entry) : m_entries.erase(entry);
+    }
+    for (const auto &[id, failureDomain] : servers) {
+        m_entries[id].failureDomain = failureDomain;
+    }
+    rankAll();
+}
+
+void OwnershipDecision::rankAll()
+{
+    for (auto &[id, entry] : m_entries) {
+        entry.ranking = RendezvousHash::ranking(m_members, id, entry.failureDomain);
+    }
+}
+
+void OwnershipDecision::onGrants(const MemberId &granter, std::uint64_t sequence, SteadyTime sentAt,
+                                 const std::vector<BackendServerId> &granted)
+{
+    for (const BackendServerId &id : granted) {
+        const auto found = m_entries.find(id);
+        if (found == m_entries.end()) {
+            continue;
+        }
+        Entry &entry = found->second;
+        // A grant from before a pause in asking has been given back in the pause.
+        const bool hasAsked = entry.asking && sequence >= entry.askedFrom;
+        if (hasAsked || !m_settings.needsAskingHeartbeat) {
+            SteadyTime &last = entry.granted[granter];
+            last = std::max(last, sentAt);
+        }
+    }
+}
+
+void OwnershipDecision::forgetGranter(const MemberId &granter)
+{
+    for (auto &[id, entry] : m_entries) {
+        entry.granted.erase(granter);
+    }
+}
+
+bool OwnershipDecision::decide(const Peers &peers, std::uint64_t nextSequence, SteadyTime now)
+{
+    bool changed = false;
+    for (auto &[id, entry] : m_entries) {
+        if (entry.asking) {
+            changed |= decideAsking(id, entry, peers, now);
+        } else if (decideIdle(entry, peers, now)) {
+            entry.asking = true;
+            entry.askedFrom = nextSequence;
+            entry.askedSince = now;
+            changed = true;
+        }
+    }
+    return changed;
+}
+
+bool OwnershipDecision::decideIdle(const Entry &entry, const Peers &peers, SteadyTime now) const
+{
+    if (peers.selfLeaving || now < entry.pausedUntil) {
+        return false;
+    }
+    const auto first = std::find_if(entry.ranking.begin(), entry.ranking.end(), peers.isAlive);
+    return first != entry.ranking.end() && *first == m_self;
+}
+
+bool OwnershipDecision::decideAsking(const BackendServerId &id, Entry &entry, const Peers &peers,
+                                     SteadyTime now) const
+{
+    if (entry.handingOver) {
+        const bool isDrained = now >= entry.drainedAt || peers.isQuiet(id);
+        return isDrained && stopAsking(entry);
+    }
+    if (const SteadyTime until = ownedUntil(entry); now < until) {
+        entry.askedSince = now;
+        entry.dispatchedUntil = until;
+        if (wantsToHandOver(id, entry, peers)) {
+            // Stops dispatching at once; its granters hear of it once its work has ended.
+            entry.handingOver = true;
+            entry.drainedAt = now + m_settings.lastWorkTime();
+        }
+        return false;
+    }
+    // Its permission ran out, by time or by a new member list; a release waits for its last work.
+    entry.dispatchedUntil = std::min(entry.dispatchedUntil, now);
+    if (now < entry.dispatchedUntil + m_settings.lastWorkTime() && !peers.isQuiet(id)) {
+        return false;
+    }
+    const auto first = std::find_if(entry.ranking.begin(), entry.ranking.end(), peers.isAlive);
+    const bool isBeaten = first != entry.ranking.end() && *first != m_self
+        && rankOf(id, *first) < rankOf(id, m_self);
+    if (isBeaten || peers.selfLeaving) {
+        return stopAsking(entry);
+    }
+    if (now >= entry.askedSince + m_settings.askPatience) {
+        entry.pausedUntil
+            = now + m_settings.askPause * static_cast<std::int64_t>(1 + rankOf(id, m_self));
+        return stopAsking(entry);
+    }
+    return false;
+}
+
+bool OwnershipDecision::wantsToHandOver(const BackendServerId &id, const Entry &entry,
+                                        const Peers &peers) const
+{
+    for (const MemberId &member : entry.ranking) {
+        if (member == m_self && !peers.selfLeaving) {
+            return false;
+        }
+        // Only to a member that asks for it: else nobody would own it.
+        if (member != m_self && peers.isAlive(member) && peers.asksFor(member, id)
+            && (peers.selfLeaving || peers.isStable(member))) {
+            return true;
+        }
+    }
+    // A leaving member that is alone has nobody to wait for.
+    return peers.selfLeaving
+        && std::none_of(entry.ranking.begin(), entry.ranking.end(), [&](const MemberId &member) {
+               return member != m_self && peers.isAlive(member);
+           });
+}
+
+bool OwnershipDecision::stopAsking(Entry &entry) const
+{
+    entry.asking = false;
+    entry.handingOver = false;
+    entry.granted.clear();
+    return true;
+}
+
+SteadyTime OwnershipDecision::ownedUntil(const Entry &entry) const
+{
+    if (entry.handingOver || (!entry.asking && m_settings.needsAskingHeartbeat)) {
+        return {};
+    }
+    std::vector<SteadyTime> times;
+    for (const RendezvousHash::Candidate &member : m_members) {
+        if (const auto found = entry.granted.find(member.id); found != entry.granted.end()) {
+            times.push_back(found->second);
+        }
+    }
+    const std::size_t needed = m_settings.quorum(m_members.size());
+    if (m_members.empty() || times.size() < needed) {
+        return {};
+    }
+    std::sort(times.begin(), times.end(), std::greater<>());
+    return times[needed - 1] + m_settings.contactTime;
+}
+
+std::vector<BackendServerId> OwnershipDecision::asked() const
+{
+    std::vector<BackendServerId> result;
+    for (const auto &[id, entry] : m_entries) {
+        if (entry.asking) {
+            result.push_back(id);
+        }
+    }
+    return result;
+}
+
+SteadyTime OwnershipDecision::ownedUntil(const BackendServerId &id) const
+{
+    const auto found = m_entries.find(id);
+    return found == m_entries.end() ? SteadyTime {} : ownedUntil(found->second);
+}
+
+std::map<BackendServerId, SteadyTime> OwnershipDecision::owned(SteadyTime now) const
+{
+    std::map<BackendServerId, SteadyTime> result;
+    for (const auto &[id, entry] : m_entries) {
+        if (const SteadyTime until = ownedUntil(entry); now < until) {
+            result[id] = until;
+        }
+    }
+    return result;
+}
+
+const std::vector<MemberId> &OwnershipDecision::ranking(const BackendServerId &id) const
+{
+    static const std::vector<MemberId> none;
+    const auto found = m_entries.find(id);
+    return found == m_entries.end() ? none : found->second.ranking;
+}
+
+std::size_t OwnershipDecision::rankOf(const BackendServerId &id, const MemberId &member) const
+{
+    const std::vector<MemberId> &order = ranking(id);
+    return static_cast<std::size_t>(
+        std::distance(order.begin(), std::find(order.begin(), order.end(), member)));
+}
+
+std::vector<BackendServerId> OwnershipDecision::servers() const
+{
+    std::vector<BackendServerId> result;
+    for (const auto &[id, entry] : m_entries) {
+        result.push_back(id);
+    }
+    return result;
+}
+
+bool OwnershipDecision::holdsAny() const
+{
+    return std::any_of(m_entries.begin(), m_entries.end(),
+                       [](const auto &item) { return item.second.asking; });
+}
+
+} // namespace pimentoward
