Accept another run of a member only on proof that it is the newer one

A heartbeat of an earlier run, never heard before, arrived late (3 s delay) after the present run's; it was taken for the newer run and the present one for dead, for good.

Change: a heartbeat of another run counts only where it echoes one that this process sent after it last heard the known run: an earlier run ended before that and cannot. The set of former runs is gone.

Ruled out: ordering runs by civil time (a clock set back would lock a restarted VM out).

--- a/src/Pimentoward/Process/Membership.cpp
+++ b/src/Pimentoward/Process/Membership.cpp
@@ -84,7 +84,9 @@
 
 Membership::Actions Membership::onHeartbeat(const Heartbeat &heartbeat, SteadyTime now)
 {
-    const auto arrival = m_peers.take(heartbeat, now);
+    const bool echoesThisRun = heartbeat.echo && heartbeat.echo->incarnation == m_incarnation;
+    const auto echoSentAt = echoesThisRun ? m_sent.sentAt(heartbeat.echo->sequence) : std::nullopt;
+    const auto arrival = m_peers.take(heartbeat, echoSentAt, now);
     if (arrival == MembershipPeers::Arrival::Stale) {
         return {};
     }
@@ -99,7 +101,7 @@
         actions.push_back(SendMemberList {heartbeat.from, m_list.record()});
     }
     noteReadiness(heartbeat);
-    countEcho(heartbeat, now);
+    countEcho(heartbeat, echoSentAt, now);
     takeAsks(heartbeat, now);
     decideAndGrant(now);
     for (Action &action : sendDue(now)) {
@@ -128,7 +130,8 @@
         && (hasQuorum || !m_settings.waitsForNewestList);
 }
 
-void Membership::countEcho(const Heartbeat &heartbeat, SteadyTime now)
+void Membership::countEcho(const Heartbeat &heartbeat, std::optional<SteadyTime> echoSentAt,
+                           SteadyTime now)
 {
     // A member of a newer list counts no longer for this one: lists two apart share no majority.
     const bool counts = isReady() && heartbeat.ready && m_list.contains(heartbeat.from)
@@ -141,13 +144,10 @@
         m_ownership.onGrants(heartbeat.from, m_sequence, now, heartbeat.granted);
         return;
     }
-    if (!heartbeat.echo || heartbeat.echo->incarnation != m_incarnation) {
-        return;
-    }
-    const std::uint64_t sequence = heartbeat.echo->sequence;
-    if (const auto sentAt = m_sent.sentAt(sequence)) {
-        m_contact.onEcho(heartbeat.from, *sentAt);
-        m_ownership.onGrants(heartbeat.from, sequence, *sentAt, heartbeat.granted);
+    if (echoSentAt) {
+        m_contact.onEcho(heartbeat.from, *echoSentAt);
+        m_ownership.onGrants(heartbeat.from, heartbeat.echo->sequence, *echoSentAt,
+                             heartbeat.granted);
     }
 }
 
--- a/src/Pimentoward/Process/Membership.h
+++ b/src/Pimentoward/Process/Membership.h
@@ -81,7 +81,8 @@
 
 private:
     void noteReadiness(const Heartbeat &heartbeat);
-    void countEcho(const Heartbeat &heartbeat, SteadyTime now);
+    void countEcho(const Heartbeat &heartbeat, std::optional<SteadyTime> echoSentAt,
+                   SteadyTime now);
     void takeAsks(const Heartbeat &heartbeat, SteadyTime now);
     void decide(SteadyTime now);
     void decideAndGrant(SteadyTime now);
--- a/src/Pimentoward/Process/MembershipPeers.cpp
+++ b/src/Pimentoward/Process/MembershipPeers.cpp
@@ -21,21 +21,22 @@
     , m_self(std::move(self))
 { }
 
-MembershipPeers::Arrival MembershipPeers::take(const Heartbeat &heartbeat, SteadyTime now)
+MembershipPeers::Arrival MembershipPeers::take(const Heartbeat &heartbeat,
+                                               std::optional<SteadyTime> echoSentAt, SteadyTime now)
 {
-    Peer &peer = m_peers[heartbeat.from];
-    if (peer.formerIncarnations.count(heartbeat.incarnation) > 0) {
-        return Arrival::Stale;
+    const auto known = m_peers.find(heartbeat.from);
+    const bool isNewRun
+        = known == m_peers.end() || known->second.incarnation != heartbeat.incarnation;
+    if (known != m_peers.end()) {
+        const bool isProvedNewer = echoSentAt && *echoSentAt > known->second.heardAt;
+        if (isNewRun ? !isProvedNewer : heartbeat.sequence <= known->second.lastSequence) {
+            return Arrival::Stale;
+        }
     }
-    const bool isNewRun = peer.incarnation != heartbeat.incarnation;
+    Peer &peer = m_peers[heartbeat.from];
     if (isNewRun) {
-        std::set<Incarnation> former = std::move(peer.formerIncarnations);
-        former.insert(peer.incarnation);
         peer = {};
-        peer.formerIncarnations = std::move(former);
         peer.incarnation = heartbeat.incarnation;
-    } else if (heartbeat.sequence <= peer.lastSequence) {
-        return Arrival::Stale;
     }
     if (isNewRun || peer.epoch != heartbeat.epoch) {
         peer.epochSince = now;
--- a/src/Pimentoward/Process/MembershipPeers.h
+++ b/src/Pimentoward/Process/MembershipPeers.h
@@ -5,7 +5,7 @@
 #include "Pimentoward/Process/MembershipSettings.h"
 
 #include <map>
-#include <set>
+#include <optional>
 
 namespace pimentoward {
 
@@ -28,8 +28,6 @@
         bool leaving = false;
         std::vector<BackendServerId> owned;
         std::vector<BackendServerId> asked;
-        /// Earlier runs; their late messages count for nothing.
-        std::set<Incarnation> formerIncarnations;
     };
     enum class Arrival {
         /// Older than what is known: to be ignored.
@@ -40,8 +38,10 @@
 
     MembershipPeers(const MembershipSettings &settings, MemberId self);
 
-    /// Takes a heartbeat in.
-    Arrival take(const Heartbeat &heartbeat, SteadyTime now);
+    /// Takes a heartbeat in. `echoSentAt`: when this process sent the heartbeat that it echoes.
+    /// Another run than the known one must echo what was sent after the known one was last heard; a
+    /// late message of an earlier run cannot.
+    Arrival take(const Heartbeat &heartbeat, std::optional<SteadyTime> echoSentAt, SteadyTime now);
     /// Guesses anew who is alive. `ownMask` is this member's own contact mask, or nothing while it
     /// has no contact or is leaving.
     void refresh(const MemberList &list, std::optional<std::uint64_t> ownMask, SteadyTime now);
