--- a/apps/standin-backend/main.cpp
+++ b/apps/standin-backend/main.cpp
@@ -26,17 +26,46 @@
          "", false},
         {"straggler-factor", SettingKind::Real, "20", "How much longer a straggler takes.", 1, 1000,
          "", false},
+        {"warm-up-runs", SettingKind::Integer, "0",
+         "Runs that warm a cold backend server up; 0: always warm.", 0, 1'000'000, "", false},
+        {"cold-factor", SettingKind::Real, "8", "How much longer a run takes when all cold.", 1,
+         1000, "", false},
+        {"cold-slots", SettingKind::Integer, "1", "Runs that a cold server bears at a time.", 1,
+         1000, "", false},
+        {"collapse-after", SettingKind::Integer, "8",
+         "Starts above what a cold server bears that make it collapse.", 0, 1'000'000, "", false},
+        {"collapse-ms", SettingKind::Milliseconds, "2000", "How long a collapse lasts.", 1, 600'000,
+         "", false},
+        {"shed-above", SettingKind::Integer, "0",
+         "Runs at a time above which new ones are refused; 0: never.", 0, 100'000, "", false},
         {"log-level", SettingKind::Choice, "INFO", "Level of the log.", 0, 0,
          "TRACE,DEBUG,INFO,WARN,ERROR,OFF", false},
     };
 }
 
+standins::BackendServerModel::Settings modelSettings(const standins::ServiceShape &shape,
+                                                     const ResolvedSettings &settings)
+{
+    constexpr double percent = 100;
+    standins::BackendServerModel::Settings model;
+    model.slots = shape.slots;
+    model.serviceTime = shape.serviceTime;
+    model.stragglerShare = settings.real("straggler-percent") / percent;
+    model.stragglerFactor = settings.real("straggler-factor");
+    model.warmUpRuns = static_cast<int>(settings.integer("warm-up-runs"));
+    model.coldFactor = settings.real("cold-factor");
+    model.coldSlots = static_cast<int>(settings.integer("cold-slots"));
+    model.collapseAfter = static_cast<int>(settings.integer("collapse-after"));
+    model.collapseTime = settings.milliseconds("collapse-ms");
+    model.shedAbove = static_cast<int>(settings.integer("shed-above"));
+    return model;
+}
+
 bool startService(event_base *loop, const standins::Deployment &deployment,
                   const standins::ServiceShape &shape, const ResolvedSettings &settings,
                   Servers &servers, Reason &reason)
 {
     constexpr IndexVersion firstVersion = 1;
-    constexpr double percent = 100;
     const ServiceCatalog catalog = deployment.catalog(shape, firstVersion);
     const auto records = std::make_shared<const standins::RecordSet>(
         standins::RecordSet::ofKind(shape.recordKind, shape.seed, shape.records));
@@ -47,11 +76,7 @@
         if (!domain.empty() && description.failureDomain != domain) {
             continue;
         }
-        standins::BackendServerModel::Settings model;
-        model.slots = shape.slots;
-        model.serviceTime = shape.serviceTime;
-        model.stragglerShare = settings.real("straggler-percent") / percent;
-        model.stragglerFactor = settings.real("straggler-factor");
+        standins::BackendServerModel::Settings model = modelSettings(shape, settings);
         model.seed = seed;
         servers.push_back(std::make_unique<standins::BackendServerProcess>(
             loop, description, catalog, records, model));
--- a/src/Pimentoward/Connection/HttpServer.cpp
+++ b/src/Pimentoward/Connection/HttpServer.cpp
@@ -108,6 +108,11 @@
     m_routes[path][method] = std::move(handler);
 }
 
+void HttpServer::watchConnections(std::function<void(evhttp_connection *)> hook)
+{
+    m_connectionHook = std::move(hook);
+}
+
 bool HttpServer::listen(const Address &address, Reason &reason)
 {
     m_socket = evhttp_bind_socket_with_handle(m_http, address.host.c_str(), address.port);
@@ -151,6 +156,9 @@
 void HttpServer::dispatch(evhttp_request *request)
 {
     const HttpRequest parsed = readRequest(request);
+    if (m_connectionHook) {
+        m_connectionHook(evhttp_request_get_connection(request));
+    }
     const auto path = m_routes.find(parsed.path);
     if (path == m_routes.end()) {
         sendAnswer(request, errorAnswer({ResultCode::UnknownPath, {}}));
--- a/src/Pimentoward/Connection/HttpServer.h
+++ b/src/Pimentoward/Connection/HttpServer.h
@@ -14,6 +14,7 @@
 struct event_base;
 struct evhttp;
 struct evhttp_bound_socket;
+struct evhttp_connection;
 struct evhttp_request;
 
 namespace pimentoward {
@@ -33,6 +34,8 @@
 
     /// Serves `path` for one method. Unknown paths and methods get a numbered refusal.
     void route(const std::string &method, const std::string &path, Handler handler);
+    /// Runs `hook` before each handler, with the connection that its request came on.
+    void watchConnections(std::function<void(evhttp_connection *)> hook);
     /// Binds the address; false with InvalidSetting in `reason` where that fails.
     bool listen(const Address &address, Reason &reason);
     /// Takes no further connections; running requests go on.
@@ -50,6 +53,7 @@
     evhttp *m_http;
     evhttp_bound_socket *m_socket = nullptr;
     std::map<std::string, std::map<std::string, Handler>> m_routes;
+    std::function<void(evhttp_connection *)> m_connectionHook;
     std::shared_ptr<std::size_t> m_openRequests;
 };
 
--- a/standins/BackendServerModel.h
+++ b/standins/BackendServerModel.h
@@ -87,6 +87,8 @@
     /// Multiplies all service times from now on.
     void slowDown(double factor) { m_slowFactor = factor; }
 
+    double slowFactor() const { return m_slowFactor; }
+
     bool isRunning(const std::string &requestId) const;
     /// True where a request of this id has been begun at any time.
     bool hasSeen(const std::string &requestId) const { return m_seen.count(requestId) > 0; }
