--- a/src/Pimentoward/Connection/HttpConnection.cpp
+++ b/src/Pimentoward/Connection/HttpConnection.cpp
@@ -57,6 +57,7 @@
     evhttp_connection *connection = nullptr;
     evhttp_request *request = nullptr;
     DoneHook done;
+    std::function<void()> idleClosed;
     std::unique_ptr<Timer> deadline;
     bool refusedAtStart = false;
 
@@ -69,11 +70,29 @@
         hook(std::move(answer), reason);
     }
 
+    /// True where more has come than the answers that were asked for.
+    bool hasSurplusInput() const
+    {
+        bufferevent *stream = evhttp_connection_get_bufferevent(connection);
+        return stream != nullptr && evbuffer_get_length(bufferevent_get_input(stream)) > 0;
+    }
+
+    void open()
+    {
+        connection = evhttp_connection_base_new(loop, nullptr, address.host.c_str(), address.port);
+        evhttp_connection_set_closecb(connection, &State::onClosed, this);
+    }
+
+    void close()
+    {
+        evhttp_connection_set_closecb(connection, nullptr, nullptr);
+        evhttp_connection_free(connection);
+    }
+
     bool isConnected() const
     {
-        bufferevent *stream
-            = connection == nullptr ? nullptr : evhttp_connection_get_bufferevent(connection);
-        if (stream == nullptr || bufferevent_getfd(stream) < 0) {
+        bufferevent *stream = evhttp_connection_get_bufferevent(connection);
+        if (stream == nullptr || bufferevent_getfd(stream) < 0 || hasSurplusInput()) {
             return false;
         }
         sockaddr_storage peer {};
@@ -100,6 +119,15 @@
         }
     }
 
+    static void onClosed(evhttp_connection *, void *self)
+    {
+        auto *state = static_cast<State *>(self);
+        // A call in flight learns of it by its own hook.
+        if (state->done == nullptr && state->idleClosed) {
+            state->idleClosed();
+        }
+    }
+
     void failUnreachable()
     {
         finish(std::nullopt,
@@ -127,8 +155,7 @@
 {
     m_state->address = address;
     m_state->loop = loop;
-    m_state->connection
-        = evhttp_connection_base_new(loop, nullptr, address.host.c_str(), address.port);
+    m_state->open();
     m_state->deadline
         = std::make_unique<Timer>(loop, [state = m_state.get()] { state->onDeadline(); });
 }
@@ -137,12 +164,17 @@
 {
     // Freeing the connection may run the callback of a running call; it must find no hook.
     m_state->done = nullptr;
-    evhttp_connection_free(m_state->connection);
+    m_state->close();
 }
 
 void HttpConnection::send(const HttpCall &call, DoneHook done)
 {
     assert(!isBusy());
+    if (m_state->hasSurplusInput()) {
+        // It would be read as the answer of this call.
+        m_state->close();
+        m_state->open();
+    }
     m_state->done = std::move(done);
     m_state->refusedAtStart = false;
     evhttp_request *request = evhttp_request_new(&State::onDone, m_state.get());
@@ -164,6 +196,11 @@
     }
 }
 
+void HttpConnection::onIdleClosed(std::function<void()> hook)
+{
+    m_state->idleClosed = std::move(hook);
+}
+
 bool HttpConnection::isBusy() const
 {
     return m_state->done != nullptr;
--- a/src/Pimentoward/Connection/HttpConnection.h
+++ b/src/Pimentoward/Connection/HttpConnection.h
@@ -29,6 +29,8 @@
 
     /// Sends one call. Must not be busy. The hook runs on the loop, never inside this function.
     void send(const HttpCall &call, DoneHook done);
+    /// Runs `hook` each time that the other side closes the connection while it carries no call.
+    void onIdleClosed(std::function<void()> hook);
     bool isBusy() const;
     /// True while the TCP connection stands.
     bool isConnected() const;
