--- a/src/Pimentoward/Process/SignalWatch.cpp
+++ b/src/Pimentoward/Process/SignalWatch.cpp
@@ -2,6 +2,8 @@
 
 #include <event2/event.h>
 
+#include <csignal>
+
 namespace pimentoward {
 
 SignalWatch::SignalWatch(event_base *loop, const std::vector<int> &signals, Hook hook)
@@ -10,6 +12,9 @@
     const auto onSignal = [](evutil_socket_t signal, short, void *self) {
         static_cast<SignalWatch *>(self)->m_hook(static_cast<int>(signal));
     };
+    // A write to a connection that has been reset is an error of that connection, not the end of
+    // the process.
+    std::signal(SIGPIPE, SIG_IGN);
     for (const int signal : signals) {
         event *watch = evsignal_new(loop, signal, onSignal, this);
         event_add(watch, nullptr);
--- a/src/Pimentoward/Process/SignalWatch.h
+++ b/src/Pimentoward/Process/SignalWatch.h
@@ -8,7 +8,7 @@
 
 namespace pimentoward {
 
-/// Runs a hook on a loop when the process gets one of some signals.
+/// Runs a hook on a loop when the process gets one of some signals. Ignores SIGPIPE.
 class SignalWatch
 {
 public:
