Make settings changes pure functions with records, history and differences

Change: SettingsChange (document to document of revision + 1, or a reason), SettingsDifference, SettingsChangeRecord, SettingsHistory. A document carries the records of its last 4 changes, so that a lost write of the history value is made good by the next one and settings never depend on it. An exception that stands twice is refused.

--- a/src/Pimentoward/Process/SettingsDocument.cpp
+++ b/src/Pimentoward/Process/SettingsDocument.cpp
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <cassert>
 
 namespace pimentoward {
@@ -36,8 +37,10 @@
 
 bool checkException(const SettingsException &exception, Reason &reason)
 {
-    if (exception.target.empty()) {
-        return refuse(reason, "an exception must name a service or a failure domain");
+    if (exception.target.empty() || exception.target.size() > SettingsDocument::longestName) {
+        return refuse(reason,
+                      "an exception must name a service or a failure domain in 1 to "
+                          + std::to_string(SettingsDocument::longestName) + " bytes");
     }
     if (exception.reason.empty() || exception.reason.size() > SettingsDocument::longestReason) {
         return refuse(reason,
@@ -51,7 +54,30 @@
     return checkSetting(exception.setting, exception.value, reason);
 }
 
-std::optional<ExceptionScope> scopeFromName(const std::string &name)
+bool isRepeated(const std::vector<SettingsException> &exceptions, std::size_t index)
+{
+    const SettingsException &one = exceptions[index];
+    const auto end = exceptions.begin() + static_cast<std::ptrdiff_t>(index);
+    return std::any_of(exceptions.begin(), end, [&](const SettingsException &other) {
+        return other.scope == one.scope && other.target == one.target
+            && other.setting == one.setting;
+    });
+}
+
+SettingsException exceptionFromJson(const Json &item, ExceptionScope scope)
+{
+    return {scope, item.at("target").get<std::string>(), item.at("setting").get<std::string>(),
+            item.at("value").get<std::string>(), item.at("reason").get<std::string>()};
+}
+
+} // namespace
+
+const char *exceptionScopeName(ExceptionScope scope)
+{
+    return scope == ExceptionScope::OneFailureDomain ? failureDomainScope : serviceScope;
+}
+
+std::optional<ExceptionScope> exceptionScopeFromName(const std::string &name)
 {
     if (name == serviceScope) {
         return ExceptionScope::OneService;
@@ -62,8 +88,6 @@
     return std::nullopt;
 }
 
-} // namespace
-
 std::optional<SettingsDocument> SettingsDocument::parse(const std::string &json, Reason &reason)
 {
     try {
@@ -73,15 +97,15 @@
         document.changeId = root.value("changeId", std::string());
         document.defaults = root.at("defaults").get<std::map<std::string, std::string>>();
         for (const Json &item : root.at("exceptions")) {
-            const auto scope = scopeFromName(item.at("scope").get<std::string>());
+            const auto scope = exceptionScopeFromName(item.at("scope").get<std::string>());
             if (!scope) {
                 refuse(reason, "an exception's scope is 'service' or 'failure-domain'");
                 return std::nullopt;
             }
-            document.exceptions.push_back({*scope, item.at("target").get<std::string>(),
-                                           item.at("setting").get<std::string>(),
-                                           item.at("value").get<std::string>(),
-                                           item.at("reason").get<std::string>()});
+            document.exceptions.push_back(exceptionFromJson(item, *scope));
+        }
+        for (const Json &item : root.value("recentChanges", Json::array())) {
+            document.recentChanges.push_back(SettingsChangeRecord::fromJson(item));
         }
         if (!document.check(reason)) {
             return std::nullopt;
@@ -97,20 +121,31 @@
 {
     Json list = Json::array();
     for (const SettingsException &exception : exceptions) {
-        const bool forDomain = exception.scope == ExceptionScope::OneFailureDomain;
-        list.push_back({{"scope", forDomain ? failureDomainScope : serviceScope},
+        list.push_back({{"scope", exceptionScopeName(exception.scope)},
                         {"target", exception.target},
                         {"setting", exception.setting},
                         {"value", exception.value},
                         {"reason", exception.reason}});
     }
+    Json recent = Json::array();
+    for (const SettingsChangeRecord &record : recentChanges) {
+        recent.push_back(record.toJson());
+    }
     return Json {{"revision", revision},
                  {"changeId", changeId},
                  {"defaults", defaults},
-                 {"exceptions", std::move(list)}}
+                 {"exceptions", std::move(list)},
+                 {"recentChanges", std::move(recent)}}
         .dump();
 }
 
+bool SettingsDocument::contains(const std::string &id) const
+{
+    return changeId == id
+        || std::any_of(recentChanges.begin(), recentChanges.end(),
+                       [&](const SettingsChangeRecord &record) { return record.changeId == id; });
+}
+
 bool SettingsDocument::check(Reason &reason) const
 {
     if (exceptions.size() > mostExceptions) {
@@ -125,10 +160,15 @@
             return false;
         }
     }
-    for (const SettingsException &exception : exceptions) {
-        if (!checkException(exception, reason)) {
+    for (std::size_t index = 0; index < exceptions.size(); ++index) {
+        if (!checkException(exceptions[index], reason)) {
             return false;
         }
+        if (isRepeated(exceptions, index)) {
+            return refuse(reason,
+                          "the exception for '" + exceptions[index].target + "' and '"
+                              + exceptions[index].setting + "' stands twice");
+        }
     }
     return true;
 }
--- a/src/Pimentoward/Process/SettingsDocument.h
+++ b/src/Pimentoward/Process/SettingsDocument.h
@@ -2,6 +2,7 @@
 
 #include "Pimentoward/Core/Reason.h"
 #include "Pimentoward/Core/Types.h"
+#include "Pimentoward/Process/SettingsChangeRecord.h"
 
 #include <chrono>
 #include <map>
@@ -14,6 +15,11 @@
 /// What an exception applies to.
 enum class ExceptionScope { OneService, OneFailureDomain };
 
+/// "service" or "failure-domain".
+const char *exceptionScopeName(ExceptionScope scope);
+/// The scope of that name, or nothing.
+std::optional<ExceptionScope> exceptionScopeFromName(const std::string &name);
+
 /// One operator's exception from a default.
 struct SettingsException
 {
@@ -32,6 +38,10 @@
 {
     static constexpr std::size_t mostExceptions = 64;
     static constexpr std::size_t longestReason = 500; // bytes
+    static constexpr std::size_t longestName = 200; // bytes; targets, authors, change ids
+    /// Records of the last changes that a document carries, so that a lost write of the history
+    /// is made good by the next one.
+    static constexpr std::size_t mostRecentChanges = 4;
 
     Revision revision = 0;
     /// Unique id of the change that made this revision; resolves unsure writes.
@@ -39,12 +49,16 @@
     /// Defaults that differ from the table's.
     std::map<std::string, std::string> defaults;
     std::vector<SettingsException> exceptions;
+    /// The last changes, oldest first.
+    std::vector<SettingsChangeRecord> recentChanges;
 
     /// Reads and checks the stored JSON text; fails with InvalidSetting.
     static std::optional<SettingsDocument> parse(const std::string &json, Reason &reason);
     /// The text that parse() reads.
     std::string toJson() const;
-    /// Checks names, values, reasons and the cap on exceptions; fails with InvalidSetting.
+    /// True where the change made this revision or one of the recent ones.
+    bool contains(const std::string &id) const;
+    /// Checks names, values, reasons, repeats and the cap on exceptions; fails with InvalidSetting.
     bool check(Reason &reason) const;
 
     /// The value in force of a setting for a service and/or failure domain (either may be empty).
--- /dev/null
+++ b/src/Pimentoward/Process/SettingsHistory.cpp
@@ -0,0 +1,108 @@
+#include "Pimentoward/Process/SettingsHistory.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <map>
+
+namespace pimentoward {
+
+namespace {
+
+using Json = nlohmann::json;
+
+bool isOlder(const SettingsChangeRecord &a, const SettingsChangeRecord &b)
+{
+    return a.revision < b.revision;
+}
+
+} // namespace
+
+std::optional<SettingsHistory> SettingsHistory::parse(const std::string &json, Reason &reason)
+{
+    SettingsHistory history;
+    if (json.empty()) {
+        return history;
+    }
+    try {
+        for (const Json &item : Json::parse(json)) {
+            history.m_records.push_back(SettingsChangeRecord::fromJson(item));
+        }
+    } catch (const Json::exception &error) {
+        reason = {ResultCode::InvalidSetting,
+                  std::string("the history is no valid list: ") + error.what()};
+        return std::nullopt;
+    }
+    std::sort(history.m_records.begin(), history.m_records.end(), isOlder);
+    return history;
+}
+
+std::string SettingsHistory::toJson() const
+{
+    std::vector<std::string> texts;
+    std::size_t size = 2; // the brackets
+    for (auto record = m_records.rbegin(); record != m_records.rend(); ++record) {
+        std::string text = record->toJson().dump();
+        size += text.size() + 1;
+        if (size > longestText) {
+            break;
+        }
+        texts.push_back(std::move(text));
+    }
+    std::string whole = "[";
+    for (auto text = texts.rbegin(); text != texts.rend(); ++text) {
+        whole += (whole.size() > 1 ? "," : "") + *text;
+    }
+    return whole + "]";
+}
+
+bool SettingsHistory::add(const std::vector<SettingsChangeRecord> &records)
+{
+    bool added = false;
+    for (const SettingsChangeRecord &record : records) {
+        const auto place = std::lower_bound(m_records.begin(), m_records.end(), record, isOlder);
+        if (place != m_records.end() && place->revision == record.revision) {
+            continue;
+        }
+        m_records.insert(place, record);
+        added = true;
+    }
+    return added;
+}
+
+std::optional<std::vector<SettingsDifference>>
+SettingsHistory::difference(Revision from, Revision to, Reason &reason) const
+{
+    std::map<std::pair<std::string, std::string>, SettingsDifference> found;
+    Revision reached = from;
+    for (const SettingsChangeRecord &record : m_records) {
+        if (record.revision <= from || record.revision > to) {
+            continue;
+        }
+        if (record.revision != reached + 1) {
+            break;
+        }
+        reached = record.revision;
+        for (const SettingsDifference &difference : record.differences) {
+            const auto [entry, isNew]
+                = found.emplace(std::pair(difference.place, difference.setting), difference);
+            entry->second.after = difference.after;
+            entry->second.reason = difference.reason;
+        }
+    }
+    if (from > to || reached != to) {
+        reason = {ResultCode::InvalidSetting,
+                  "the history does not reach from revision " + std::to_string(from) + " to "
+                      + std::to_string(to)};
+        return std::nullopt;
+    }
+    std::vector<SettingsDifference> differences;
+    for (auto &[key, difference] : found) {
+        if (difference.before != difference.after) {
+            differences.push_back(std::move(difference));
+        }
+    }
+    return differences;
+}
+
+} // namespace pimentoward
