Keep settings in step: commit, acceptance, catch-up and watchers as one decision class

Change: SettingsKeeper (messages and time in, actions out), SettingsKeeperDriver (its store calls and hooks), SettingsHistoryWriter; StoreFake and SettingsWorld: 5 VMs on a virtual clock with an outage, slow, silent and answer-losing store, cuts both and one way, freezes, restarts of one and of more than half, lost documents, racing operators. Result code 204: committed, not known in force. Cause found on the way: 'stops 1 s after it heard of a newer revision' is wrong. Now a VM serves only while more than half have echoed, without telling of a newer revision, a heartbeat of its own sent within contact time + catch-up time (3 s). An unsure write that does not show up is written again at the same key revision, so that a late one cannot take effect after a refusal was said. Ruled out: a list of who has contact at the one that changes; the 3.1 s since most hold it suffice. Not covered: clocks of different rates (the margin is argued), changes of the member list.

--- a/src/Pimentoward/Core/ResultCode.cpp
+++ b/src/Pimentoward/Core/ResultCode.cpp
@@ -30,6 +30,8 @@
         {C::UnsureWrite, "unsure-write", 503,
          "It is not known yet whether the change took effect."},
         {C::StoreUnavailable, "store-unavailable", 503, "The platform's store does not answer."},
+        {C::CommittedNotInForce, "committed-not-in-force", 202,
+         "The change is committed, but it is not known yet to be in force on every VM."},
         {C::NotRunOverloaded, "not-run-overloaded", 503, "Not run: the queue is full."},
         {C::NotRunDeadline, "not-run-deadline", 503, "Not run: it could not end in time."},
         {C::NotRunNoContact, "not-run-no-contact", 503,
--- a/src/Pimentoward/Core/ResultCode.h
+++ b/src/Pimentoward/Core/ResultCode.h
@@ -25,6 +25,7 @@
     RevisionConflict = 201,
     UnsureWrite = 202,
     StoreUnavailable = 203,
+    CommittedNotInForce = 204,
     NotRunOverloaded = 300,
     NotRunDeadline = 301,
     NotRunNoContact = 302,
--- /dev/null
+++ b/src/Pimentoward/Process/SettingsHistoryWriter.cpp
@@ -0,0 +1,95 @@
+#include "Pimentoward/Process/SettingsHistoryWriter.h"
+
+#include "Pimentoward/Core/Log.h"
+
+#include <algorithm>
+
+namespace pimentoward {
+
+struct SettingsHistoryWriter::State : std::enable_shared_from_this<State>
+{
+    explicit State(Store &s)
+        : store(s)
+    { }
+
+    Store &store;
+    std::vector<SettingsChangeRecord> waiting;
+    bool isBusy = false;
+    log4cplus::Logger log = Log::part("settings");
+
+    void begin()
+    {
+        isBusy = true;
+        store.read(storeKey, [weak = weak_from_this()](const auto &stored, const Reason &) {
+            if (const auto self = weak.lock()) {
+                self->isBusy = false;
+                if (stored) {
+                    self->onRead(*stored);
+                }
+            }
+        });
+    }
+
+    void onRead(const StoredValue &stored)
+    {
+        Reason reason;
+        auto history = SettingsHistory::parse(stored.value, reason);
+        if (!history) {
+            LOG4CPLUS_ERROR(log, "History begun anew: " << reason.text);
+            history = SettingsHistory();
+        }
+        if (!history->add(waiting)) {
+            waiting.clear();
+            return;
+        }
+        isBusy = true;
+        const std::size_t written = waiting.size();
+        store.compareAndSwap(storeKey, stored.revision, history->toJson(),
+                             [weak = weak_from_this(), written](const auto &outcome, const auto &) {
+                                 if (const auto self = weak.lock()) {
+                                     self->onWritten(outcome, written);
+                                 }
+                             });
+    }
+
+    /// After any other outcome the next try reads again and finds what is still missing.
+    void onWritten(const WriteOutcome &outcome, std::size_t written)
+    {
+        isBusy = false;
+        if (outcome.status == WriteStatus::Committed) {
+            const auto end = waiting.begin() + static_cast<std::ptrdiff_t>(written);
+            waiting.erase(waiting.begin(), end);
+        }
+    }
+};
+
+SettingsHistoryWriter::SettingsHistoryWriter(Store &store)
+    : m_state(std::make_shared<State>(store))
+{ }
+
+SettingsHistoryWriter::~SettingsHistoryWriter() = default;
+
+void SettingsHistoryWriter::record(const std::vector<SettingsChangeRecord> &records)
+{
+    constexpr std::size_t mostWaiting = 1000;
+    auto &waiting = m_state->waiting;
+    waiting.insert(waiting.end(), records.begin(), records.end());
+    if (waiting.size() > mostWaiting && !m_state->isBusy) {
+        waiting.erase(waiting.begin(), waiting.end() - mostWaiting);
+    }
+    tick();
+}
+
+void SettingsHistoryWriter::tick()
+{
+    if (!m_state->waiting.empty() && !m_state->isBusy) {
+        m_state->begin();
+    }
+}
+
+std::size_t SettingsHistoryWriter::waiting() const
+{
+    return m_state->waiting.size();
+}
+
+} // namespace pimentoward
--- /dev/null
+++ b/src/Pimentoward/Process/SettingsKeeper.cpp
@@ -0,0 +1,309 @@
+#include "Pimentoward/Process/SettingsKeeper.h"
+
+#include "Pimentoward/Process/RendezvousHash.h"
+
+#include <algorithm>
+
+namespace pimentoward {
+
+namespace {
+
+constexpr const char *watcherKey = "settings";
+
+std::shared_ptr<const SettingsDocument> parseStored(const StoredValue &stored)
+{
+    if (stored.revision == 0) {
+        return std::make_shared<const SettingsDocument>();
+    }
+    Reason reason;
+    auto document = SettingsDocument::parse(stored.value, reason);
+    return document ? std::make_shared<const SettingsDocument>(std::move(*document)) : nullptr;
+}
+
+} // namespace
+
+SettingsKeeper::SettingsKeeper(const SettingsKeeperSettings &settings)
+    : m_settings(settings)
+    , m_document(std::make_shared<const SettingsDocument>())
+    , m_ready(!settings.catchesUpAtStart)
+{ }
+
+SettingsActions SettingsKeeper::updateMembers(std::vector<MemberId> members, SteadyTime now)
+{
+    m_members = std::move(members);
+    return tick(now);
+}
+
+SettingsActions SettingsKeeper::onReport(const SettingsReport &report, SteadyTime now)
+{
+    SettingsActions actions;
+    Peer &peer = m_peers[report.from];
+    peer.heardAt = now;
+    peer.ready = report.ready;
+    peer.revision = report.revision;
+    if (report.echoedSentAt) {
+        peer.isFresh = true;
+        if (report.ready && report.revision <= revision()) {
+            peer.confirmedAt = std::max(peer.confirmedAt, *report.echoedSentAt);
+        }
+    }
+    if (report.revision > m_highestHeard) {
+        m_highestHeard = report.revision;
+        if (m_highestHeard > revision() && !m_behindSince) {
+            m_behindSince = now;
+        }
+        m_nextAskAt = now;
+    }
+    becomeReadyByMembers();
+    catchUp(now, actions);
+    stepChanges(now, actions);
+    return actions;
+}
+
+SettingsActions SettingsKeeper::onDocument(const SettingsDocument &document, SteadyTime now)
+{
+    SettingsActions actions;
+    adopt(std::make_shared<const SettingsDocument>(document));
+    becomeReadyByMembers();
+    stepChanges(now, actions);
+    return actions;
+}
+
+SettingsActions SettingsKeeper::onAsk(const MemberId &from) const
+{
+    return {PushSettings {from, m_document}};
+}
+
+SettingsActions SettingsKeeper::onRead(StoreCallId call, const std::optional<StoredValue> &stored,
+                                       SteadyTime now)
+{
+    SettingsActions actions;
+    if (call == m_catchUpCall) {
+        m_catchUpCall = 0;
+        m_nextCatchUpAt = now + m_settings.storeRetry;
+        if (stored) {
+            takeStored(*stored, false, actions);
+        }
+    } else if (call == m_watchCall) {
+        m_watchCall = 0;
+        m_nextWatchAt = stored ? now : now + m_settings.storeRetry;
+        if (stored) {
+            takeStored(*stored, true, actions);
+        }
+    } else if (PendingChange *pending = running(); pending != nullptr && pending->call == call) {
+        pending->call = 0;
+        onChangeRead(*pending, stored, now, actions);
+    }
+    const SettingsActions more = tick(now);
+    actions.insert(actions.end(), more.begin(), more.end());
+    return actions;
+}
+
+SettingsActions SettingsKeeper::onWrite(StoreCallId call, const WriteOutcome &outcome,
+                                        SteadyTime now)
+{
+    SettingsActions actions;
+    PendingChange *pending = running();
+    if (pending == nullptr || pending->call != call) {
+        return actions;
+    }
+    pending->call = 0;
+    pending->stage = Stage::Reading;
+    switch (outcome.status) {
+    case WriteStatus::Committed:
+        m_keyRevision = std::max(m_keyRevision, outcome.revision);
+        adopt(pending->written);
+        committed(*pending, pending->written->revision);
+        pushToOthers(actions);
+        actions.emplace_back(RecordSettings {pending->written});
+        break;
+    case WriteStatus::Conflict:
+        // The same change may have come in by another VM, so the id is looked up first.
+        pending->conflicted = true;
+        pending->nextCallAt = now;
+        break;
+    case WriteStatus::Unsure:
+        pending->unsure = true;
+        pending->nextCallAt = now + m_settings.storeRetry;
+        if (!m_settings.readsBackUnsureWrites) {
+            answer({ResultCode::StoreUnavailable, "the store does not answer"}, now, actions);
+        }
+        break;
+    case WriteStatus::Refused:
+        pending->nextCallAt = now + m_settings.storeRetry;
+        if (!pending->unsure) {
+            answer({ResultCode::StoreUnavailable,
+                    "the platform's store refuses writes; nothing was changed"},
+                   now, actions);
+        }
+        break;
+    }
+    stepChanges(now, actions);
+    return actions;
+}
+
+SettingsActions SettingsKeeper::change(const SettingsChange &change, ChangeToken token,
+                                       SteadyTime now, WallTime wallNow)
+{
+    SettingsActions actions;
+    if (m_changes.size() >= m_settings.mostWaitingChanges) {
+        actions.emplace_back(AnswerChange {
+            token, {ResultCode::NotRunOverloaded, "too many changes wait at this VM"}, 0});
+        return actions;
+    }
+    PendingChange pending;
+    pending.change = change;
+    pending.token = token;
+    pending.at = wallNow;
+    pending.deadline = now + m_settings.changeTimeLimit;
+    m_changes.push_back(std::move(pending));
+    stepChanges(now, actions);
+    return actions;
+}
+
+SettingsActions SettingsKeeper::tick(SteadyTime now)
+{
+    SettingsActions actions;
+    becomeReadyByMembers();
+    catchUp(now, actions);
+    watch(now, actions);
+    stepChanges(now, actions);
+    return actions;
+}
+
+bool SettingsKeeper::mayServe(SteadyTime now) const
+{
+    if (!m_settings.stopsWhereBehind) {
+        return m_ready;
+    }
+    return m_ready && now < confirmedAt(now) + m_settings.contactTime + m_settings.catchUpTime;
+}
+
+SteadyTime SettingsKeeper::confirmedAt(SteadyTime now) const
+{
+    std::vector<SteadyTime> times;
+    for (const MemberId &member : m_members) {
+        const auto peer = m_peers.find(member);
+        if (member == m_settings.self) {
+            times.push_back(now);
+        } else if (peer != m_peers.end()) {
+            times.push_back(peer->second.confirmedAt);
+        }
+    }
+    const std::size_t majority = m_members.size() / 2 + 1;
+    if (times.size() < majority) {
+        return SteadyTime::min();
+    }
+    std::sort(times.begin(), times.end(), std::greater<>());
+    return times[majority - 1];
+}
+
+bool SettingsKeeper::isWatcher(SteadyTime now) const
+{
+    std::vector<RendezvousHash::Candidate> candidates;
+    for (const MemberId &member : m_members) {
+        const auto peer = m_peers.find(member);
+        const bool isHeard
+            = peer != m_peers.end() && now - peer->second.heardAt <= m_settings.contactTime;
+        if (member == m_settings.self || isHeard) {
+            candidates.push_back({member, {}});
+        }
+    }
+    const auto order = RendezvousHash::ranking(candidates, watcherKey, {});
+    const auto end
+        = order.begin() + static_cast<std::ptrdiff_t>(std::min(order.size(), m_settings.watchers));
+    return std::find(order.begin(), end, m_settings.self) != end;
+}
+
+bool SettingsKeeper::adopt(const std::shared_ptr<const SettingsDocument> &document)
+{
+    if (document->revision <= revision() && m_settings.neverGoesBack) {
+        return false;
+    }
+    m_document = document;
+    m_highestHeard = std::max(m_highestHeard, document->revision);
+    if (revision() >= m_highestHeard) {
+        m_behindSince.reset();
+    }
+    return true;
+}
+
+void SettingsKeeper::takeStored(const StoredValue &stored, bool fromWatch, SettingsActions &actions)
+{
+    const auto document = parseStored(stored);
+    if (document == nullptr) {
+        // Settings that this VM cannot read are never taken for "none".
+        return;
+    }
+    m_keyRevision = stored.revision;
+    const bool isNewer = adopt(document);
+    // The store has every accepted revision, so that whoever reads it has caught up.
+    m_ready = true;
+    if (isNewer && fromWatch) {
+        pushToOthers(actions);
+    }
+}
+
+void SettingsKeeper::catchUp(SteadyTime now, SettingsActions &actions)
+{
+    const bool isBehind = m_highestHeard > revision();
+    if (isBehind && now >= m_nextAskAt) {
+        std::vector<MemberId> holders;
+        for (const auto &[id, peer] : m_peers) {
+            if (peer.revision > revision()) {
+                holders.push_back(id);
+            }
+        }
+        if (!holders.empty()) {
+            actions.emplace_back(AskSettings {holders[m_lastAsked++ % holders.size()]});
+        }
+        m_nextAskAt = now + m_settings.askRetry;
+    }
+    // The members that hold it may be gone; the store has it too.
+    const bool asksInVain
+        = isBehind && m_behindSince && now - *m_behindSince > 2 * m_settings.askRetry;
+    if ((!m_ready || asksInVain) && m_catchUpCall == 0 && now >= m_nextCatchUpAt) {
+        m_catchUpCall = newCall();
+        actions.emplace_back(ReadSettings {m_catchUpCall});
+    }
+}
+
+void SettingsKeeper::watch(SteadyTime now, SettingsActions &actions)
+{
+    if (m_ready && m_watchCall == 0 && now >= m_nextWatchAt && isWatcher(now)) {
+        m_watchCall = newCall();
+        actions.emplace_back(WatchSettings {m_watchCall, m_keyRevision, m_settings.watchTime});
+    }
+}
+
+void SettingsKeeper::pushToOthers(SettingsActions &actions) const
+{
+    for (const MemberId &member : m_members) {
+        const auto peer = m_peers.find(member);
+        const bool holdsIt = peer != m_peers.end() && peer->second.revision >= revision();
+        if (member != m_settings.self && !holdsIt) {
+            actions.emplace_back(PushSettings {member, m_document});
+        }
+    }
+}
+
+void SettingsKeeper::becomeReadyByMembers()
+{
+    if (m_ready) {
+        return;
+    }
+    std::size_t fresh = 0;
+    Revision highest = 0;
+    for (const MemberId &member : m_members) {
+        const auto peer = m_peers.find(member);
+        if (member != m_settings.self && peer != m_peers.end() && peer->second.isFresh
+            && peer->second.ready) {
+            ++fresh;
+            highest = std::max(highest, peer->second.revision);
+        }
+    }
+    // This VM itself is not counted: it may have held a revision and forgotten it.
+    m_ready = 2 * fresh > m_members.size() && revision() >= highest;
+}
+
+} // namespace pimentoward
--- /dev/null
+++ b/src/Pimentoward/Process/SettingsKeeperChanges.cpp
@@ -0,0 +1,190 @@
+// The part of SettingsKeeper that commits an operator's change and waits until it is accepted.
+
+#include "Pimentoward/Process/SettingsKeeper.h"
+
+#include <algorithm>
+
+namespace pimentoward {
+
+SettingsKeeper::PendingChange *SettingsKeeper::running()
+{
+    return m_changes.empty() ? nullptr : &m_changes.front();
+}
+
+void SettingsKeeper::stepChanges(SteadyTime now, SettingsActions &actions)
+{
+    while (!m_changes.empty() && stepChange(m_changes.front(), now, actions)) { }
+    // Those that wait behind a slow one are answered in time too: nothing of them was written.
+    for (auto waiting = m_changes.begin(); waiting != m_changes.end();) {
+        if (waiting == m_changes.begin() || now < waiting->deadline) {
+            ++waiting;
+            continue;
+        }
+        actions.emplace_back(AnswerChange {waiting->token, lateOutcome(*waiting), 0});
+        waiting = m_changes.erase(waiting);
+    }
+}
+
+/// True where the change has ended, so that the next one can begin.
+bool SettingsKeeper::stepChange(PendingChange &pending, SteadyTime now, SettingsActions &actions)
+{
+    if (pending.stage == Stage::Accepting && isAccepted(pending, now)) {
+        answer({}, now, actions);
+        return true;
+    }
+    if (now >= pending.deadline) {
+        answer(lateOutcome(pending), now, actions);
+        return true;
+    }
+    if (pending.stage == Stage::Reading && pending.call == 0 && now >= pending.nextCallAt) {
+        pending.call = newCall();
+        actions.emplace_back(ReadSettings {pending.call});
+    }
+    return false;
+}
+
+void SettingsKeeper::onChangeRead(PendingChange &pending, const std::optional<StoredValue> &stored,
+                                  SteadyTime now, SettingsActions &actions)
+{
+    const bool mayBeWritten = pending.unsure || pending.conflicted;
+    Reason reason {ResultCode::StoreUnavailable,
+                   "the platform's store does not answer; nothing was changed"};
+    std::optional<SettingsDocument> read;
+    if (stored) {
+        read = stored->revision == 0 ? SettingsDocument()
+                                     : SettingsDocument::parse(stored->value, reason);
+    }
+    if (!read) {
+        pending.nextCallAt = now + m_settings.storeRetry;
+        if (!mayBeWritten) {
+            answer(reason, now, actions);
+        }
+        return;
+    }
+    takeStored(*stored, false, actions);
+    // A store that lost the settings is given the ones in force again by the next change.
+    const SettingsDocument &base = read->revision < revision() ? *m_document : *read;
+    if (base.contains(pending.change.changeId)) {
+        const auto record = std::find_if(
+            base.recentChanges.begin(), base.recentChanges.end(),
+            [&](const auto &entry) { return entry.changeId == pending.change.changeId; });
+        committed(pending, record == base.recentChanges.end() ? base.revision : record->revision);
+        pushToOthers(actions);
+        actions.emplace_back(RecordSettings {m_document});
+        return;
+    }
+    if (mayBeWritten && stored->revision != pending.expectedKeyRevision) {
+        afterConflict(pending, base, now, actions);
+        return;
+    }
+    if (!pending.unsure) {
+        const auto next = pending.change.applyTo(base, pending.at, reason);
+        if (!next) {
+            answer(reason, now, actions);
+            return;
+        }
+        pending.written = std::make_shared<const SettingsDocument>(*next);
+        pending.expectedKeyRevision = stored->revision;
+    }
+    // An unsure write that has not shown up may still do so; writing the same again at the same
+    // revision of the key makes sure that either of the two, and just one, takes effect.
+    write(pending, actions);
+}
+
+/// The key has moved on without the change: it can no longer take effect.
+void SettingsKeeper::afterConflict(PendingChange &pending, const SettingsDocument &base,
+                                   SteadyTime now, SettingsActions &actions)
+{
+    if (!m_settings.refusesConflicts) {
+        pending.change.expectedRevision = base.revision;
+        pending.unsure = false;
+        pending.conflicted = false;
+        pending.nextCallAt = now;
+        return;
+    }
+    const Revision wanted = pending.change.expectedRevision + 1;
+    const bool reachesBack
+        = std::any_of(base.recentChanges.begin(), base.recentChanges.end(),
+                      [&](const auto &record) { return record.revision == wanted; });
+    if (!reachesBack && pending.unsure) {
+        answer({ResultCode::UnsureWrite,
+                "the write was not answered and many changes came since; look for change "
+                    + pending.change.changeId + " in the history"},
+               now, actions);
+        return;
+    }
+    answer({ResultCode::RevisionConflict,
+            "another change came first and revision " + std::to_string(base.revision)
+                + " is in force; nothing was changed; read the settings again"},
+           now, actions);
+}
+
+void SettingsKeeper::write(PendingChange &pending, SettingsActions &actions)
+{
+    pending.stage = Stage::Writing;
+    pending.call = newCall();
+    actions.emplace_back(
+        WriteSettings {pending.call, pending.expectedKeyRevision, pending.written->toJson()});
+}
+
+void SettingsKeeper::committed(PendingChange &pending, Revision revision)
+{
+    pending.stage = Stage::Accepting;
+    pending.committed = revision;
+}
+
+bool SettingsKeeper::isAccepted(PendingChange &pending, SteadyTime now) const
+{
+    if (!m_settings.waitsForMembers) {
+        return true;
+    }
+    std::size_t holders = 0;
+    for (const MemberId &member : m_members) {
+        const auto peer = m_peers.find(member);
+        const bool peerHolds = peer != m_peers.end() && peer->second.ready
+            && peer->second.revision >= pending.committed;
+        const bool selfHolds = member == m_settings.self && revision() >= pending.committed;
+        holders += peerHolds || selfHolds ? 1 : 0;
+    }
+    if (!pending.heldByMostSince && 2 * holders > m_members.size()) {
+        pending.heldByMostSince = now;
+    }
+    if (!pending.heldByMostSince) {
+        return false;
+    }
+    const Duration untilStopped
+        = m_settings.contactTime + m_settings.catchUpTime + m_settings.clockMargin;
+    return holders == m_members.size() || now - *pending.heldByMostSince > untilStopped;
+}
+
+Reason SettingsKeeper::lateOutcome(const PendingChange &pending) const
+{
+    if (pending.stage == Stage::Accepting) {
+        return {ResultCode::CommittedNotInForce,
+                "the change is committed as revision " + std::to_string(pending.committed)
+                    + ", but fewer than half of the VMs have confirmed it yet; it will take force "
+                      "there as they come back"};
+    }
+    if (pending.unsure || pending.stage == Stage::Writing) {
+        return {ResultCode::UnsureWrite,
+                "the platform's store has not told whether the change took effect; look for change "
+                    + pending.change.changeId + " later, or repeat it with the same id"};
+    }
+    if (pending.conflicted) {
+        return {ResultCode::RevisionConflict, "another change came first; nothing was changed"};
+    }
+    return {ResultCode::StoreUnavailable,
+            "the platform's store does not answer; nothing was changed"};
+}
+
+void SettingsKeeper::answer(const Reason &outcome, SteadyTime now, SettingsActions &actions)
+{
+    const PendingChange ended = std::move(m_changes.front());
+    m_changes.pop_front();
+    actions.emplace_back(AnswerChange {ended.token, outcome, ended.committed});
+    if (!m_changes.empty()) {
+        m_changes.front().nextCallAt = now;
+    }
+}
+
+} // namespace pimentoward
--- /dev/null
+++ b/src/Pimentoward/Process/SettingsKeeperDriver.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "Pimentoward/Core/Clock.h"
+#include "Pimentoward/Process/SettingsChange.h"
+#include "Pimentoward/Process/SettingsHistory.h"
+#include "Pimentoward/Process/SettingsKeeperActions.h"
+#include "Pimentoward/Process/SettingsKeeperSettings.h"
+#include "Pimentoward/Process/Store.h"
+
+#include <functional>
+#include <memory>
+
+namespace pimentoward {
+
+/// Runs a SettingsKeeper against the platform's store and the links between VMs. Owned by one
+/// task; all calls and hooks are on that task.
+class SettingsKeeperDriver
+{
+public:
+    static constexpr const char *storeKey = "settings";
+
+    struct Hooks
+    {
+        /// Sends the text of a document to a member, which passes it to onDocument().
+        std::function<void(const MemberId &to, const std::string &document)> push;
+        /// Asks a member for its document; the member passes it to onAsk().
+        std::function<void(const MemberId &to)> ask;
+        /// Another document is in force.
+        std::function<void(const std::shared_ptr<const SettingsDocument> &)> changed;
+    };
+    /// How a change ended; see AnswerChange. The revision is the one that it made, or 0.
+    using ChangeHook = std::function<void(const Reason &, Revision)>;
+    using HistoryHook = std::function<void(std::optional<SettingsHistory>, const Reason &)>;
+
+    /// `store` and `clock` must outlive this object.
+    SettingsKeeperDriver(const SettingsKeeperSettings &settings, Store &store, const Clock &clock,
+                         Hooks hooks);
+    ~SettingsKeeperDriver();
+
+    /// To be called each 100 ms.
+    void tick();
+    /// The members of the current epoch, this VM among them.
+    void updateMembers(std::vector<MemberId> members);
+    /// What a heartbeat tells of its sender's settings.
+    void onReport(const SettingsReport &report);
+    /// The text of a document from a member; one that cannot be read is logged and dropped.
+    void onDocument(const std::string &text);
+    void onAsk(const MemberId &from);
+    /// Commits an operator's change and waits until it is accepted.
+    void change(const SettingsChange &change, ChangeHook done);
+    /// Reads the history from the store.
+    void readHistory(HistoryHook done);
+
+    /// The document in force; never null.
+    const std::shared_ptr<const SettingsDocument> &document() const;
+    /// True once this run holds the newest settings; before, no heartbeat may be echoed.
+    bool isReady() const;
+    /// True where this VM may take on new work, as far as settings go.
+    bool mayServe() const;
+    /// True where this VM watches the store at present.
+    bool isWatcher() const;
+    /// Changes in the history that are not yet known to be in the store.
+    std::size_t waitingRecords() const;
+
+private:
+    struct State;
+    std::shared_ptr<State> m_state;
+};
+
+} // namespace pimentoward
--- /dev/null
+++ b/tests/Process/SettingsWorld.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "Pimentoward/Process/SettingsKeeperDriver.h"
+#include "tests/support/StoreFake.h"
+
+#include <memory>
+#include <set>
+
+namespace pimentoward::tests {
+
+/// Several VMs with their settings on a virtual clock, random faults and racing operators; the
+/// checkers read the store's own log and what each VM has in force.
+class SettingsWorld
+{
+public:
+    SettingsWorld(unsigned seed, const SettingsKeeperSettings &settings);
+
+    /// Runs with faults, then for a while without, and checks throughout.
+    void run();
+    /// What was seen that must not be.
+    const std::vector<std::string> &violations() const { return m_violations; }
+    std::size_t answered(ResultCode code) const;
+    /// Longest time from a commit to its acceptance, after the faults.
+    Duration slowestAcceptance() const { return m_slowestAcceptance; }
+
+private:
+    struct Echo
+    {
+        unsigned run = 0;
+        SteadyTime sentAt {};
+    };
+
+    struct Vm
+    {
+        MemberId id;
+        std::unique_ptr<StoreFakeClient> store;
+        std::unique_ptr<SettingsKeeperDriver> driver;
+        unsigned run = 0;
+        bool isFrozen = false;
+        bool losesDocuments = false;
+        std::vector<std::function<void()>> deferred;
+        std::map<std::size_t, Echo> heard;
+        /// When this run sent the newest heartbeat that the peer has echoed.
+        std::map<std::size_t, SteadyTime> echoed;
+        Revision lastServed = 0;
+    };
+
+    struct Operation
+    {
+        std::string id;
+        Revision expected = 0;
+        std::optional<ResultCode> outcome;
+        SteadyTime begunAt {};
+        std::size_t vm = 0;
+        unsigned run = 0;
+    };
+
+    void startVm(std::size_t index);
+    void send(std::size_t from, std::size_t to, std::function<void()> message);
+    void deliver(std::size_t to, std::function<void()> message);
+    void tick(std::size_t index);
+    void heartbeat(std::size_t index);
+    void operate();
+    void change(std::size_t index, Revision expected);
+    void fault();
+    void storeFault(StoreFault fault, Duration length);
+    void pairFault(std::size_t a, std::size_t b, Duration length);
+    void freeze(std::size_t index, Duration length);
+    void healAll();
+    bool serves(const Vm &vm) const;
+    void check();
+    void checkAnswers();
+    void violate(const std::string &what);
+    Duration milliseconds(unsigned lowest, unsigned highest);
+
+    static constexpr std::size_t members = 5;
+
+    SettingsKeeperSettings m_settings;
+    unsigned m_seed;
+    std::mt19937 m_random;
+    EventQueue m_queue;
+    StoreFake m_store;
+    std::vector<Vm> m_vms;
+    std::set<std::pair<std::size_t, std::size_t>> m_cuts;
+    bool m_quiet = false;
+    std::vector<Operation> m_operations;
+    std::map<std::string, SteadyTime> m_committedAt;
+    Revision m_accepted = 0;
+    Duration m_slowestAcceptance {};
+    std::vector<std::string> m_violations;
+};
+
+} // namespace pimentoward::tests
--- /dev/null
+++ b/tests/support/StoreFake.cpp
@@ -0,0 +1,139 @@
+#include "tests/support/StoreFake.h"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+namespace pimentoward::tests {
+
+namespace {
+
+constexpr std::chrono::milliseconds callLimit {1000};
+constexpr std::chrono::milliseconds pollPeriod {150};
+const Reason storeDown {ResultCode::StoreUnavailable, "down"};
+
+} // namespace
+
+void EventQueue::after(Duration delay, std::function<void()> event)
+{
+    m_events.emplace(now() + delay, std::move(event));
+}
+
+void EventQueue::runUntil(SteadyTime end)
+{
+    while (!m_events.empty() && m_events.begin()->first <= end) {
+        const auto event = std::move(m_events.begin()->second);
+        m_clock.advance(m_events.begin()->first - now());
+        m_events.erase(m_events.begin());
+        event();
+    }
+    m_clock.advance(end - now());
+}
+
+void StoreFakeClient::call(bool isWrite, std::function<std::function<void()>()> work,
+                           const std::function<void(Failure)> &failed)
+{
+    if (m_isCut) {
+        m_fake.m_queue.after(callLimit,
+                             [this, failed] { m_deliver([failed] { failed(Failure::NotSent); }); });
+        return;
+    }
+    const auto isDone = std::make_shared<bool>(false);
+    const auto end = [this, isDone](const std::function<void()> &hook) {
+        return [this, isDone, hook] {
+            m_deliver([isDone, hook] {
+                if (!std::exchange(*isDone, true)) {
+                    hook();
+                }
+            });
+        };
+    };
+    m_fake.m_queue.after(callLimit, end([failed] { failed(Failure::Lost); }));
+    const auto delay = [this] {
+        const unsigned slowest = m_fake.m_fault == StoreFault::Slow ? 2500 : 10;
+        return std::chrono::milliseconds(1 + m_fake.m_random() % slowest);
+    };
+    m_fake.m_queue.after(delay(), [this, isWrite, end, delay, work = std::move(work), failed] {
+        if (m_fake.m_fault == StoreFault::Down) {
+            m_fake.m_queue.after(delay(), end([failed] { failed(Failure::Refused); }));
+        } else if (m_fake.m_fault != StoreFault::Silent) {
+            const auto hook = work();
+            const bool isLost = m_fake.m_fault == StoreFault::LoseAnswers
+                || (isWrite && m_fake.m_fault == StoreFault::LoseWriteAnswers);
+            if (!isLost) {
+                m_fake.m_queue.after(delay(), end(hook));
+            }
+        }
+    });
+}
+
+void StoreFakeClient::read(const std::string &key, ReadHook done)
+{
+    call(
+        false,
+        [this, key, done]() -> std::function<void()> {
+            return [done, value = m_fake.m_state.read(key)] { done(value, {}); };
+        },
+        [done](Failure) { done(std::nullopt, storeDown); });
+}
+
+void StoreFakeClient::list(const std::string &prefix, KeysHook done)
+{
+    call(
+        false,
+        [this, prefix, done]() -> std::function<void()> {
+            return [done, keys = m_fake.m_state.keysWithPrefix(prefix)] { done(keys, {}); };
+        },
+        [done](Failure) { done(std::nullopt, storeDown); });
+}
+
+void StoreFakeClient::compareAndSwap(const std::string &key, Revision expected,
+                                     const std::string &value, WriteHook done)
+{
+    call(
+        true,
+        [this, key, expected, value, done]() -> std::function<void()> {
+            const WriteOutcome outcome = m_fake.m_state.compareAndSwap(key, expected, value);
+            return [done, outcome] { done(outcome, {}); };
+        },
+        [done](Failure failure) {
+            done({failure == Failure::Lost ? WriteStatus::Unsure : WriteStatus::Refused, 0},
+                 storeDown);
+        });
+}
+
+void StoreFakeClient::watch(const std::string &key, Revision after, std::chrono::milliseconds wait,
+                            ReadHook done)
+{
+    poll(key, after, m_fake.m_queue.now() + wait, done);
+}
+
+void StoreFakeClient::poll(const std::string &key, Revision after, SteadyTime end,
+                           const ReadHook &done)
+{
+    read(key, [this, key, after, end, done](const auto &stored, const Reason &reason) {
+        const bool isOver = !stored || stored->revision > after || m_fake.m_queue.now() >= end;
+        if (isOver) {
+            done(stored, reason);
+            return;
+        }
+        m_fake.m_queue.after(pollPeriod,
+                             [this, key, after, end, done] { poll(key, after, end, done); });
+    });
+}
+
+void StoreFakeClient::listVms(VmListHook done)
+{
+    call(
+        false,
+        [this, done]() -> std::function<void()> {
+            std::vector<VmRecord> vms;
+            for (const auto &[id, vm] : m_fake.m_state.vms()) {
+                vms.push_back(vm);
+            }
+            return [done, vms] { done(vms, {}); };
+        },
+        [done](Failure) { done(std::nullopt, storeDown); });
+}
+
+} // namespace pimentoward::tests
