Add pimentoctl: settings and state commands with documented exit codes

One table of commands makes parsing and help. No command touches a single request. Ruled out: trying another VM after a lost answer by itself: the operator repeats with the change id, which takes effect once at most.

--- /dev/null
+++ b/apps/pimentoctl/StateCommand.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include "apps/pimentoctl/Command.h"
+
+namespace pimentoctl {
+
+/// Prints the state of one VM, or of all, as a table or as JSON.
+ToolExit showState(const OperatorClient &client, const CommandInput &input);
+
+} // namespace pimentoctl
