Run load tool, benches and stand-ins on the precise clock

Cause: libevent's loops follow CLOCK_MONOTONIC_COARSE, 4 ms a tick here (CONFIG_HZ=250), so that a 2 ms service time took 4 to 8 ms and sends came late. Change: newPreciseLoop() in the programs of the bench.

--- a/apps/pimento-load/main.cpp
+++ b/apps/pimento-load/main.cpp
@@ -1,4 +1,5 @@
 #include "Pimentoward/Core/Log.h"
+#include "Pimentoward/Process/PreciseLoop.h"
 #include "Pimentoward/Process/SettingsReader.h"
 #include "apps/pimento-load/LoadSettings.h"
 #include "standins/CallerTargets.h"
@@ -137,7 +138,7 @@
         std::cerr << "pimento-load: " << reason.text << '\n';
         return ExitCode::InvalidSettings;
     }
-    event_base *loop = event_base_new();
+    event_base *loop = newPreciseLoop();
     ExitCode code = ExitCode::Success;
     if (settings.flag("once")) {
         code = runOnce(loop, settings, *loads);
--- a/apps/standin-backend/main.cpp
+++ b/apps/standin-backend/main.cpp
@@ -1,4 +1,5 @@
 #include "Pimentoward/Core/Log.h"
+#include "Pimentoward/Process/PreciseLoop.h"
 #include "Pimentoward/Process/SettingsReader.h"
 #include "Pimentoward/Process/SignalWatch.h"
 #include "standins/BackendServerProcess.h"
@@ -79,7 +80,7 @@
         std::cerr << "standin-backend: " << reason.text << '\n';
         return static_cast<int>(ExitCode::InvalidSettings);
     }
-    event_base *loop = event_base_new();
+    event_base *loop = newPreciseLoop();
     {
         Servers servers;
         for (const standins::ServiceShape &shape : deployment->services) {
--- a/apps/standin-platform/main.cpp
+++ b/apps/standin-platform/main.cpp
@@ -1,4 +1,5 @@
 #include "Pimentoward/Core/Log.h"
+#include "Pimentoward/Process/PreciseLoop.h"
 #include "Pimentoward/Process/SettingsReader.h"
 #include "Pimentoward/Process/SignalWatch.h"
 #include "standins/Deployment.h"
@@ -54,7 +55,7 @@
         std::cerr << "standin-platform: " << reason.text << '\n';
         return static_cast<int>(ExitCode::InvalidSettings);
     }
-    event_base *loop = event_base_new();
+    event_base *loop = newPreciseLoop();
     {
         standins::PlatformServer server(loop);
         fill(server.store(), *deployment);
--- a/bench/path.cpp
+++ b/bench/path.cpp
@@ -3,6 +3,7 @@
 /// connection.
 
 #include "Pimentoward/Core/Log.h"
+#include "Pimentoward/Process/PreciseLoop.h"
 #include "Pimentoward/Process/SettingsReader.h"
 #include "standins/CallerTargets.h"
 #include "standins/CompareRounds.h"
@@ -161,7 +162,7 @@
     if (!folder.empty()) {
         std::filesystem::create_directories(folder);
     }
-    event_base *loop = event_base_new();
+    event_base *loop = newPreciseLoop();
     try {
         standins::DeploymentProcesses::Settings processes;
         processes.file = deploymentFile(*settings);
--- /dev/null
+++ b/src/Pimentoward/Process/PreciseLoop.cpp
@@ -0,0 +1,16 @@
+#include "Pimentoward/Process/PreciseLoop.h"
+
+#include <event2/event.h>
+
+namespace pimentoward {
+
+event_base *newPreciseLoop()
+{
+    event_config *config = event_config_new();
+    event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+    event_base *loop = event_base_new_with_config(config);
+    event_config_free(config);
+    return loop;
+}
+
+} // namespace pimentoward
--- /dev/null
+++ b/src/Pimentoward/Process/PreciseLoop.h
@@ -0,0 +1,12 @@
+#pragma once
+
+struct event_base;
+
+namespace pimentoward {
+
+/// A new event loop whose timers follow the precise monotonic clock. libevent's default clock only
+/// moves with the kernel's tick (4 ms at 250 Hz), which is too coarse for hedges and deadlines.
+/// The caller frees it with event_base_free().
+event_base *newPreciseLoop();
+
+} // namespace pimentoward
--- a/tests/standins/DirectFanoutTest.cpp
+++ b/tests/standins/DirectFanoutTest.cpp
@@ -1,4 +1,5 @@
 #include "standins/DirectFanout.h"
+#include "Pimentoward/Process/PreciseLoop.h"
 #include "standins/BackendServerProcess.h"
 #include "standins/Deployment.h"
 
@@ -77,7 +78,7 @@
 
 TEST_CASE("Direct VMs keep their own limit but overrun the slots together", "[bench]")
 {
-    event_base *loop = event_base_new();
+    event_base *loop = newPreciseLoop();
     CHECK(mostConcurrent(loop, 1) == 1);
     CHECK(mostConcurrent(loop, 4) == 4);
     event_base_free(loop);
