--- a/src/Pimentoward/Process/Task.cpp
+++ b/src/Pimentoward/Process/Task.cpp
@@ -1,5 +1,7 @@
 #include "Pimentoward/Process/Task.h"
 
+#include "Pimentoward/Process/PreciseLoop.h"
+
 #include <event2/event.h>
 #include <event2/thread.h>
 #include <pthread.h>
@@ -52,7 +54,7 @@
 {
     useThreadsOnce();
     m_state->name = std::move(name);
-    m_state->loop = event_base_new();
+    m_state->loop = newPreciseLoop();
     const auto onWakeup
         = [](evutil_socket_t, short, void *state) { static_cast<State *>(state)->drainInbox(); };
     m_state->wakeup = event_new(m_state->loop, -1, EV_PERSIST, onWakeup, m_state.get());
