Give the direct baseline's test servers the connections that its VMs open

Change: 30 connections each, as in the users' sizes. The assertions stay as they were. Measured: build/pimentoward-tests "[bench]" passes. Conclusion: the fixture stated a limit that nothing enforced before.

--- a/tests/standins/DirectFanoutTest.cpp
+++ b/tests/standins/DirectFanoutTest.cpp
@@ -27,6 +27,7 @@
     shape.shards = 4;
     shape.replicas = 1;
     shape.slots = 1;
+    shape.connections = 30;
     shape.firstPort = 21000;
     shape.serviceTime = std::chrono::microseconds(2000);
     deployment.services.push_back(shape);
