Run the control task by membership

Cause: ControlTask gave itself contact and ownership from the VM list, read every 500 ms together with every service: 2 + 2 x services store calls a second per VM and no protection against two owners.

Change: heartbeats on the control port by their own PeerHub; Membership decides; the view carries the true contact and ownership ends, and is published at once where what is owned changes, before the heartbeat that tells of it. ControlTaskMembers reads the member list at the start only, writes the first one from the VM list and changes by compare-and-swap; two watchers poll the VM list each 5 s, the others each 20 s. ControlTaskServices waits on each service by a watch. postLeave() leaves gracefully. The dump shows epoch, contact, owned, granted, unowned, and each member's last echo. A starting VM says that it has contact only once everything has an owner (or 3 s after its restart wait), so that it is not ready too early.

Ruled out: publishing with every message (140 owners copied 28 times a second).

--- a/src/Pimentoward/Process/ControlTask.cpp
+++ b/src/Pimentoward/Process/ControlTask.cpp
@@ -1,22 +1,39 @@
 #include "Pimentoward/Process/ControlTask.h"
 
 #include "Pimentoward/Connection/HttpServer.h"
+#include "Pimentoward/Connection/PeerHub.h"
 #include "Pimentoward/Core/Log.h"
+#include "Pimentoward/Process/ControlMessages.h"
+#include "Pimentoward/Process/ControlTaskMembers.h"
+#include "Pimentoward/Process/ControlTaskServices.h"
 #include "Pimentoward/Process/HttpStore.h"
-#include "Pimentoward/Process/RendezvousHash.h"
+#include "Pimentoward/Process/Membership.h"
 #include "Pimentoward/Process/Task.h"
 #include "Pimentoward/Process/Timer.h"
 
 #include <nlohmann/json.hpp>
 
+#include <random>
+#include <set>
+#include <utility>
+
 namespace pimentoward {
 
 namespace {
 
 constexpr int statusOk = 200;
-constexpr std::chrono::milliseconds refreshPeriod {500};
-constexpr std::chrono::milliseconds contactTime {2000};
-constexpr const char *servicePrefix = "service/";
+constexpr std::chrono::milliseconds tickPeriod {50};
+constexpr std::chrono::milliseconds publishPeriod {100};
+/// A starting VM that does not find an owner of everything serves with what there is after this
+/// time past the restart wait.
+constexpr std::chrono::seconds longestStart {3};
+
+/// Differs from that of every earlier run of this VM, and is never 0.
+Incarnation newIncarnation()
+{
+    std::random_device random;
+    return std::uint64_t {random()} | 1U;
+}
 
 } // namespace
 
@@ -30,7 +47,12 @@
         , task("control")
         , http(task.loop(), {})
         , store(task.loop(), s.platform, s.storeCallTimeout)
-        , refreshTimer(task.loop(), [this] { refresh(); })
+        , startedAt(c.now())
+        , membership(s.membership, s.self, newIncarnation(), startedAt)
+        , members(task.loop(), c, store, s.self, membership)
+        , services(task.loop(), store, [this] { updateServices(); })
+        , hub(task.loop(), s.self.id, [this](const std::string &bytes) { onPeerMessage(bytes); })
+        , tickTimer(task.loop(), [this] { tick(); })
     {
         documents = std::make_shared<const SettingsDocument>();
         http.route("GET", "/state", [this](const HttpRequest &, const auto &respond) {
@@ -48,95 +70,189 @@
     Task task;
     HttpServer http;
     HttpStore store;
-    Timer refreshTimer;
-    std::map<MemberId, Member> members;
-    std::map<ServiceName, std::shared_ptr<const ServiceCatalog>> services;
-    std::map<ServiceName, Revision> serviceRevisions;
+    SteadyTime startedAt;
+    Membership membership;
+    ControlTaskMembers members;
+    ControlTaskServices services;
+    HeartbeatServerList serverList;
+    PeerHub hub;
+    Timer tickTimer;
     std::shared_ptr<const SettingsDocument> documents;
+    std::map<MemberId, Address> peerAddresses;
+    /// What the view published last permits.
+    std::set<BackendServerId> publishedOwned;
+    SteadyTime publishedAt {};
+    /// True once this VM has been whole: from then on it says so itself when it has no contact.
+    bool hasStarted = false;
+    std::uint64_t badMessages = 0;
+    std::function<void()> onLeft;
     log4cplus::Logger log = Log::part("control");
 
-    void refresh()
+    void start()
     {
-        store.listVms([this](const auto &vms, const Reason &reason) {
-            if (!vms) {
-                LOG4CPLUS_WARN(log, "VM list not read: " << reason.text);
-            } else {
-                members.clear();
-                for (const VmRecord &vm : *vms) {
-                    if (!vm.leaving) {
-                        members[vm.id] = {vm.id, vm.host, vm.failureDomain};
-                    }
-                }
-            }
-            publishView();
-        });
-        store.list(servicePrefix, [this](const auto &keys, const Reason &) {
-            if (!keys) {
-                return;
-            }
-            for (const std::string &key : *keys) {
-                readService(key);
-            }
-        });
+        members.start();
+        services.start();
+        tick();
+        tickTimer.startRepeating(tickPeriod);
     }
 
-    void readService(const std::string &key)
+    void tick()
     {
-        store.read(key, [this, key](const auto &stored, const Reason &) {
-            if (!stored || stored->revision <= serviceRevisions[key]) {
-                return;
-            }
-            serviceRevisions[key] = stored->revision;
-            Reason reason;
-            auto catalog = ServiceCatalog::parse(stored->value, reason);
-            if (!catalog) {
-                LOG4CPLUS_ERROR(log, "Entry " << key << " not used: " << reason.text);
-                return;
+        membership.updateSettings(documents->revision, true);
+        // What is owned no longer leaves the view before the others hear of it.
+        const Membership::Actions actions = membership.tick(clock.now());
+        afterEvent();
+        send(actions);
+        if (onLeft && membership.isLeaving() && !membership.holdsAny()) {
+            std::exchange(onLeft, nullptr)();
+        }
+    }
+
+    void onPeerMessage(const std::string &bytes)
+    {
+        Reason reason;
+        const auto message = decodeControlMessage(bytes, serverList, reason);
+        if (!message) {
+            ++badMessages;
+            LOG4CPLUS_WARN(log, "Peer message refused: " << reason.text);
+            return;
+        }
+        Membership::Actions actions;
+        if (const auto *heartbeat = std::get_if<Heartbeat>(&*message)) {
+            actions = membership.onHeartbeat(*heartbeat, clock.now());
+        } else if (const auto *record = std::get_if<MemberRecord>(&*message)) {
+            membership.onMemberList(*record, clock.now());
+        }
+        afterEvent();
+        send(actions);
+    }
+
+    void send(const Membership::Actions &actions)
+    {
+        for (const Membership::Action &action : actions) {
+            if (const auto *beat = std::get_if<Membership::SendHeartbeat>(&action)) {
+                hub.send(beat->to, encodeControlMessage(beat->heartbeat, serverList));
+            } else if (const auto *list = std::get_if<Membership::SendMemberList>(&action)) {
+                hub.send(list->to, encodeControlMessage(list->record, serverList));
             }
-            const ServiceName name = catalog->name;
-            services[name] = std::make_shared<const ServiceCatalog>(std::move(*catalog));
-            LOG4CPLUS_INFO(log, "Service " << name << " read");
+        }
+    }
+
+    void updateServices()
+    {
+        const auto servers = services.backendServers();
+        std::vector<BackendServerId> ids;
+        ids.reserve(servers.size());
+        for (const auto &[id, failureDomain] : servers) {
+            ids.push_back(id);
+        }
+        serverList.update(std::move(ids));
+        membership.updateBackendServers(servers);
+        publishView();
+    }
+
+    void updatePeers()
+    {
+        std::map<MemberId, Address> wanted;
+        const std::uint16_t port = settings.peerListen.port;
+        for (const auto &[id, vm] : membership.vms()) {
+            wanted[id] = {vm.host, port};
+        }
+        for (const auto &[id, member] : membership.list().record().members) {
+            wanted[id] = {member.host, port};
+        }
+        wanted.erase(settings.self.id);
+        if (wanted != peerAddresses) {
+            peerAddresses = std::move(wanted);
+            hub.updatePeers(peerAddresses);
+        }
+    }
+
+    /// Publishes at once where what this VM owns has changed, else now and then.
+    void afterEvent()
+    {
+        updatePeers();
+        const SteadyTime now = clock.now();
+        std::set<BackendServerId> owned;
+        for (const auto &[id, until] : membership.ownedUntil(now)) {
+            owned.insert(id);
+        }
+        if (owned != publishedOwned || now >= publishedAt + publishPeriod) {
+            publishedOwned = std::move(owned);
             publishView();
-        });
+        }
     }
 
     void publishView()
     {
+        const SteadyTime now = clock.now();
+        publishedAt = now;
         auto view = std::make_shared<ControlView>();
-        view->members = members;
-        view->services = services;
+        view->epoch = membership.list().epoch();
+        view->members = membership.list().record().members;
+        view->services = services.services();
         view->settings = documents;
-        view->contactUntil = clock.now() + contactTime;
-        std::vector<RendezvousHash::Candidate> candidates;
-        for (const auto &[id, member] : members) {
-            candidates.push_back({id, member.failureDomain});
+        view->longestDispatch = settings.membership.longestDispatch;
+        view->leaving = membership.isLeaving();
+        for (const auto &[id, until] : membership.ownedUntil(now)) {
+            view->ownedUntil[id] = until;
         }
-        for (const auto &[name, catalog] : services) {
-            for (const auto &[id, server] : catalog->backendServers) {
-                const auto owner = RendezvousHash::owner(candidates, id, server.failureDomain);
-                if (!owner) {
-                    continue;
-                }
-                view->owners[id] = *owner;
-                if (*owner == settings.self.id) {
-                    view->ownedUntil[id] = view->contactUntil;
-                }
-            }
+        for (const auto &[id, member] : membership.owners(now)) {
+            view->owners[id] = member;
         }
+        // A starting VM takes no callers before it knows an owner of everything.
+        const SteadyTime latest = startedAt + settings.membership.holdTime() + longestStart;
+        hasStarted
+            |= now >= latest || (!services.services().empty() && membership.unownedCount(now) == 0);
+        view->contactUntil = hasStarted ? membership.contactUntil(now) : SteadyTime {};
         publish(std::move(view));
     }
 
-    nlohmann::json ownDump() const
+    nlohmann::json membersDump() const
     {
+        const SteadyTime now = clock.now();
+        const auto millisSince = [now](SteadyTime time) -> nlohmann::json {
+            if (time == SteadyTime {}) {
+                return nullptr;
+            }
+            return std::chrono::duration_cast<std::chrono::milliseconds>(now - time).count();
+        };
         nlohmann::json list = nlohmann::json::array();
-        for (const auto &[id, member] : members) {
-            list.push_back(
-                {{"id", id}, {"host", member.host}, {"failureDomain", member.failureDomain}});
+        for (const auto &[id, member] : membership.list().record().members) {
+            nlohmann::json entry {{"id", id},
+                                  {"host", member.host},
+                                  {"failureDomain", member.failureDomain},
+                                  {"alive", membership.peers().isAlive(id)}};
+            if (const auto *peer = membership.peers().find(id)) {
+                entry["epoch"] = peer->epoch;
+                entry["settingsRevision"] = peer->settingsRevision;
+                entry["leaving"] = peer->leaving;
+                entry["owned"] = peer->owned.size();
+                entry["heardMillisAgo"] = millisSince(peer->heardAt);
+                entry["echoMillisAgo"] = millisSince(membership.contact().lastEcho(id));
+            }
+            list.push_back(std::move(entry));
         }
+        return list;
+    }
+
+    nlohmann::json ownDump() const
+    {
+        const SteadyTime now = clock.now();
         return {{"self", settings.self.id},
-                {"members", std::move(list)},
+                {"epoch", membership.list().epoch()},
+                {"ready", membership.isReady()},
+                {"leaving", membership.isLeaving()},
+                {"contact", now < membership.contactUntil(now)},
+                {"owned", membership.ownedUntil(now).size()},
+                {"unowned", membership.unownedCount(now)},
+                {"granted", membership.grants().grantedCount(now)},
+                {"members", membersDump()},
                 {"settingsRevision", documents->revision},
-                {"storeCalls", store.calls()}};
+                {"storeCalls", store.calls()},
+                {"controlBytesSent", hub.bytesSent()},
+                {"controlBytesReceived", hub.bytesReceived()},
+                {"badControlMessages", badMessages}};
     }
 
     /// Runs on the control task; the answer comes back to it.
@@ -164,15 +280,13 @@
 
 bool ControlTask::listen(Reason &reason)
 {
-    return m_state->http.listen(m_state->settings.operatorListen, reason);
+    return m_state->http.listen(m_state->settings.operatorListen, reason)
+        && m_state->hub.listen(m_state->settings.peerListen, reason);
 }
 
 void ControlTask::start()
 {
-    m_state->task.post([state = m_state.get()] {
-        state->refresh();
-        state->refreshTimer.startRepeating(refreshPeriod);
-    });
+    m_state->task.post([state = m_state.get()] { state->start(); });
     m_state->task.start();
 }
 
@@ -181,6 +295,15 @@
     m_state->task.stop();
 }
 
+void ControlTask::postLeave(std::function<void()> done)
+{
+    m_state->task.post([state = m_state.get(), done = std::move(done)] {
+        state->onLeft = done;
+        state->membership.leave();
+        state->publishView();
+    });
+}
+
 void ControlTask::postDump(DumpHook hook)
 {
     m_state->task.post([state = m_state.get(), hook = std::move(hook)] { state->dump(hook); });
--- a/src/Pimentoward/Process/ControlTask.h
+++ b/src/Pimentoward/Process/ControlTask.h
@@ -3,6 +3,7 @@
 #include "Pimentoward/Core/Address.h"
 #include "Pimentoward/Core/Clock.h"
 #include "Pimentoward/Process/ControlView.h"
+#include "Pimentoward/Process/MembershipSettings.h"
 
 #include <nlohmann/json_fwd.hpp>
 
@@ -19,6 +20,7 @@
     std::chrono::milliseconds storeCallTimeout {1000};
     Address operatorListen;
     Address peerListen;
+    MembershipSettings membership;
 };
 
 /// The task that keeps a VM in step with the others: platform store, VM list, membership,
@@ -42,6 +44,9 @@
     bool listen(Reason &reason);
     void start();
     void stop();
+    /// Starts to leave: takes no new caller requests, tells the others and hands over all that it
+    /// owns. `done` runs on the control task once nothing is owned. From any thread.
+    void postLeave(std::function<void()> done);
     /// Collects the whole process's state and passes it to `hook`. From any thread.
     void postDump(DumpHook hook);
 
--- a/src/Pimentoward/Process/ControlView.h
+++ b/src/Pimentoward/Process/ControlView.h
@@ -35,6 +35,9 @@
     std::unordered_map<BackendServerId, MemberId> owners;
     std::map<ServiceName, std::shared_ptr<const ServiceCatalog>> services;
     std::shared_ptr<const SettingsDocument> settings;
+    /// Longest time that a backend server may be given for one dispatch: whoever takes over from a
+    /// silent owner waits as long.
+    std::chrono::milliseconds longestDispatch {1000};
     /// True where this VM is leaving and takes no new caller requests.
     bool leaving = false;
 
--- a/src/Pimentoward/Process/Membership.cpp
+++ b/src/Pimentoward/Process/Membership.cpp
@@ -328,14 +328,41 @@
     return result;
 }
 
-bool Membership::isFirstAlive() const
+std::size_t Membership::unownedCount(SteadyTime now) const
 {
+    std::set<BackendServerId> unowned;
+    for (const BackendServerId &id : m_ownership.servers()) {
+        unowned.insert(id);
+    }
+    for (const auto &[member, peer] : m_peers.all()) {
+        if (m_peers.isHeard(member, now)) {
+            for (const BackendServerId &id : peer.owned) {
+                unowned.erase(id);
+            }
+        }
+    }
+    for (const auto &[id, until] : m_ownership.owned(now)) {
+        unowned.erase(id);
+    }
+    return unowned.size();
+}
+
+std::size_t Membership::placeAmongAlive() const
+{
+    std::size_t place = 0;
     for (const auto &[id, member] : m_list.record().members) {
-        if (m_peers.isAlive(id)) {
-            return id == m_self.id;
+        if (id == m_self.id) {
+            return m_peers.isAlive(id) ? place : m_list.record().members.size();
         }
+        place += m_peers.isAlive(id) ? 1 : 0;
     }
-    return false;
+    return m_list.record().members.size();
+}
+
+bool Membership::isWatcher() const
+{
+    constexpr std::size_t watchers = 2;
+    return placeAmongAlive() < watchers;
 }
 
 MemberList::Wishes Membership::wishes(SteadyTime now) const
@@ -366,7 +393,7 @@
 
 std::optional<MemberRecord> Membership::proposedChange(SteadyTime now) const
 {
-    if (!isReady() || m_leaving || now >= m_contact.contactUntil(now) || !isFirstAlive()) {
+    if (!isReady() || m_leaving || now >= m_contact.contactUntil(now) || placeAmongAlive() != 0) {
         return std::nullopt;
     }
     const Duration time = m_settings.spacesChanges ? m_settings.holdTime() : Duration {};
--- a/src/Pimentoward/Process/Membership.h
+++ b/src/Pimentoward/Process/Membership.h
@@ -70,10 +70,16 @@
     std::map<BackendServerId, SteadyTime> ownedUntil(SteadyTime now) const;
     /// Best guess of each backend server's owner.
     std::map<BackendServerId, MemberId> owners(SteadyTime now) const;
+    /// Backend servers that nobody is known to own.
+    std::size_t unownedCount(SteadyTime now) const;
+    /// True for the first two living members: they watch the platform for the others.
+    bool isWatcher() const;
     /// True while this member leaves and still asks for or hands over something.
     bool holdsAny() const { return m_ownership.holdsAny(); }
     bool isLeaving() const { return m_leaving; }
 
+    /// The platform's VM list as read last.
+    const std::map<MemberId, VmRecord> &vms() const { return m_vms; }
     const MemberList &list() const { return m_list; }
     const MembershipPeers &peers() const { return m_peers; }
     const QuorumContact &contact() const { return m_contact; }
@@ -93,7 +99,7 @@
     Actions sendDue(SteadyTime now);
     std::set<MemberId> receivers(SteadyTime now) const;
     MemberList::Wishes wishes(SteadyTime now) const;
-    bool isFirstAlive() const;
+    std::size_t placeAmongAlive() const;
 
     MembershipSettings m_settings;
     Member m_self;
