Generate the settings and result code pages from the tables; test the settings reader

The reader had no tests. Found by them: bounds above a million were written as 6.71089e+07 in help and errors; the test failed so first, numbers are now written with 12 digits. Ruled out: a refusal of unknown PIMENTOWARD_ variables: programs share one environment, and PIMENTOWARD_VMS is pimentoctl's.

--- /dev/null
+++ b/apps/generate-pages/main.cpp
@@ -0,0 +1,36 @@
+// Writes the generated pages of the docs into the folder given; tools/pages calls it.
+
+#include "Pimentoward/Process/SettingsPages.h"
+#include "Pimentoward/Process/SettingsReader.h"
+
+#include <fstream>
+#include <iostream>
+
+using namespace pimentoward;
+
+namespace {
+
+bool write(const std::string &path, const std::string &text)
+{
+    std::ofstream file(path);
+    file << text;
+    file.close();
+    if (!file) {
+        std::cerr << "generate-pages: cannot write " << path << '\n';
+    }
+    return static_cast<bool>(file);
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    if (argc != 2) {
+        std::cerr << "usage: generate-pages FOLDER\n";
+        return static_cast<int>(ExitCode::InvalidSettings);
+    }
+    const std::string folder = argv[1];
+    const bool isWritten = write(folder + "/RESULT-CODES.md", SettingsPages::resultCodes())
+        && write(folder + "/SETTINGS.md", SettingsPages::settings());
+    return static_cast<int>(isWritten ? ExitCode::Success : ExitCode::Failure);
+}
--- a/apps/pimentoctl/SettingsCommands.cpp
+++ b/apps/pimentoctl/SettingsCommands.cpp
@@ -58,7 +58,7 @@
 std::string timeText(std::int64_t milliseconds)
 {
     constexpr std::int64_t perSecond = 1000;
-    const std::time_t seconds = static_cast<std::time_t>(milliseconds / perSecond);
+    const auto seconds = static_cast<std::time_t>(milliseconds / perSecond);
     std::tm parts {};
     gmtime_r(&seconds, &parts);
     std::array<char, 32> text {};
--- a/src/Pimentoward/Process/SettingsReader.cpp
+++ b/src/Pimentoward/Process/SettingsReader.cpp
@@ -8,6 +8,7 @@
 #include <cctype>
 #include <charconv>
 #include <cstdlib>
+#include <iomanip>
 #include <iostream>
 #include <sstream>
 
@@ -36,8 +37,9 @@
 
 std::string trimmedNumber(double value)
 {
+    constexpr int digits = 12; // enough to write no bound with an exponent
     std::ostringstream text;
-    text << value;
+    text << std::setprecision(digits) << value;
     return text.str();
 }
 
--- /dev/null
+++ b/tests/Process/SettingsReaderTest.cpp
@@ -0,0 +1,125 @@
+#include "Pimentoward/Process/SettingsReader.h"
+
+#include "Pimentoward/Process/DaemonSettings.h"
+
+#include <catch2/catch.hpp>
+
+#include <iostream>
+#include <sstream>
+
+using namespace pimentoward;
+
+namespace {
+
+using Environment = std::map<std::string, std::string>;
+
+SettingsReader readerWith(const Environment &environment)
+{
+    SettingsReader reader = daemonSettingsReader();
+    reader.environment([environment](const std::string &name) -> std::optional<std::string> {
+        const auto found = environment.find(name);
+        return found == environment.end() ? std::nullopt : std::optional(found->second);
+    });
+    return reader;
+}
+
+std::optional<ResolvedSettings> read(std::vector<const char *> flags, Reason &reason,
+                                     const Environment &environment = {})
+{
+    flags.insert(flags.begin(), {"pimentod", "--vm=vm-1", "--failure-domain=a"});
+    return readerWith(environment).read(static_cast<int>(flags.size()), flags.data(), reason);
+}
+
+/// The refusal must name every one of `words`.
+void checkRefusal(const std::vector<const char *> &flags, const std::vector<std::string> &words)
+{
+    Reason reason;
+    CHECK_FALSE(read(flags, reason));
+    CHECK(reason.code == ResultCode::InvalidSetting);
+    for (const std::string &word : words) {
+        INFO(reason.text);
+        CHECK(reason.text.find(word) != std::string::npos);
+    }
+}
+
+/// Exit code and what standard output and standard error got.
+struct StartResult
+{
+    bool goesOn = false;
+    ExitCode exitCode {};
+    std::string out;
+    std::string error;
+};
+
+StartResult start(std::vector<const char *> flags)
+{
+    flags.insert(flags.begin(), "pimentod");
+    std::ostringstream out;
+    std::ostringstream error;
+    auto *oldOut = std::cout.rdbuf(out.rdbuf());
+    auto *oldError = std::cerr.rdbuf(error.rdbuf());
+    StartResult result;
+    result.goesOn = readerWith({})
+                        .readOrExit(static_cast<int>(flags.size()), flags.data(), result.exitCode)
+                        .has_value();
+    std::cout.rdbuf(oldOut);
+    std::cerr.rdbuf(oldError);
+    result.out = out.str();
+    result.error = error.str();
+    return result;
+}
+
+} // namespace
+
+TEST_CASE("A flag goes before a variable, a variable before the default", "[settings]")
+{
+    Reason reason;
+    const Environment environment {{"PIMENTOWARD_LOG_LEVEL", "WARN"},
+                                   {"PIMENTOWARD_STORE_TIMEOUT_MS", "700"}};
+    const auto settings = read({"--log-level", "DEBUG"}, reason, environment);
+    REQUIRE(settings);
+    CHECK(settings->text("log-level") == "DEBUG");
+    CHECK(settings->milliseconds("store-timeout-ms") == std::chrono::milliseconds(700));
+    CHECK(settings->text("platform") == "127.0.0.1:7000");
+    const std::string shown = settings->describe();
+    CHECK(shown.find("log-level = DEBUG  (flag)\n") != std::string::npos);
+    CHECK(shown.find("store-timeout-ms = 700  (environment)\n") != std::string::npos);
+    CHECK(shown.find("platform = 127.0.0.1:7000  (default)\n") != std::string::npos);
+    CHECK_FALSE(read({}, reason, {{"PIMENTOWARD_LOG_LEVEL", "LOUD"}}));
+}
+
+TEST_CASE("A wrong setting is refused with its name, value and what is allowed", "[settings]")
+{
+    checkRefusal({"--no-such", "1"}, {"no-such", "--help"});
+    checkRefusal({"stray"}, {"stray"});
+    checkRefusal({"--store-timeout-ms", "9"}, {"store-timeout-ms", "'9'", "10 to 60000"});
+    checkRefusal({"--store-timeout-ms", "1s"}, {"store-timeout-ms", "'1s'", "milliseconds"});
+    checkRefusal({"--longest-body", "99999999999999999999"}, {"longest-body", "1024 to 67108864"});
+    checkRefusal({"--log-level", "LOUD"}, {"log-level", "LOUD", "TRACE,DEBUG"});
+    checkRefusal({"--platform", "localhost:1"}, {"platform", "localhost:1", "IP:PORT"});
+    checkRefusal({"--platform", "127.0.0.1:0"}, {"platform", "127.0.0.1:0", "IP:PORT"});
+    checkRefusal({"--caller-listen", "127.0.0.1:9", "--operator-listen", "127.0.0.1:9"},
+                 {"caller-listen", "operator-listen", "127.0.0.1:9", "different"});
+    checkRefusal({"--vm", ""}, {"vm", "required"});
+}
+
+TEST_CASE("A program's start prints, checks or goes on", "[settings]")
+{
+    const std::vector<const char *> good {"--vm=vm-1", "--failure-domain=a"};
+    CHECK(start(good).goesOn);
+    auto flags = good;
+    flags.push_back("--check");
+    CHECK_FALSE(start(flags).goesOn);
+    CHECK(start(flags).out.find("valid") != std::string::npos);
+    CHECK(start(flags).exitCode == ExitCode::Success);
+    flags.back() = "--print-settings";
+    CHECK(start(flags).out.find("vm = vm-1  (flag)") != std::string::npos);
+    // Required settings are missing here; help and version need none.
+    CHECK(start({"--check"}).exitCode == ExitCode::InvalidSettings);
+    CHECK(start({"--check"}).error.find("'vm'") != std::string::npos);
+    CHECK(start({"--help"}).exitCode == ExitCode::Success);
+    for (const SettingSpec &spec : daemonSettingsTable()) {
+        CHECK(start({"--help"}).out.find("--" + spec.name) != std::string::npos);
+    }
+    CHECK(start({"--version"}).out.find("pimentod ") == 0);
+}
