Give each bench run its own loopback network and notice a start that failed

Cause: two runs side by side shared the fixed addresses 127.31.x.y; the second one's processes could not bind, their ends went unseen, and another run's VMs answered the health probes, so that the load and the records came from different deployments. Change: the deployment's hosts move to a network chosen by process id; a process that ended at its start ends the run with an error. Ruled out: a fault in the tier or the checker: the logs of that run say 'cannot listen' on all seven processes.

--- a/standins/DeploymentProcesses.cpp
+++ b/standins/DeploymentProcesses.cpp
@@ -2,7 +2,11 @@
 
 #include <event2/event.h>
 #include <nlohmann/json.hpp>
+#include <unistd.h>
 
+#include <filesystem>
+#include <fstream>
+#include <sstream>
 #include <stdexcept>
 #include <thread>
 
@@ -18,6 +22,36 @@
 constexpr std::chrono::milliseconds pollPeriod {20};
 constexpr std::chrono::seconds startLimit {30};
 
+/// First two numbers of the loopback addresses of this run.
+std::string ownNet()
+{
+    constexpr int firstNet = 32;
+    constexpr int nets = 32;
+    return "127." + std::to_string(firstNet + getpid() % nets) + ".";
+}
+
+/// The deployment file with its hosts moved to this run's network; returns the new file's path.
+std::string moveToOwnNet(const std::string &file, const std::string &folder)
+{
+    const std::string fileNet = "127.31.";
+    std::ifstream input(file);
+    if (!input) {
+        throw std::runtime_error("cannot read the deployment file '" + file + "'");
+    }
+    std::ostringstream stream;
+    stream << input.rdbuf();
+    std::string text = stream.str();
+    const std::string net = ownNet();
+    for (std::size_t at = text.find(fileNet); at != std::string::npos;
+         at = text.find(fileNet, at + net.size())) {
+        text.replace(at, fileNet.size(), net);
+    }
+    std::filesystem::create_directories(folder);
+    std::string moved = folder + "/deployment.json";
+    std::ofstream(moved) << text;
+    return moved;
+}
+
 Deployment loadOrThrow(const std::string &file)
 {
     Reason reason;
@@ -33,27 +67,16 @@
     command.insert(command.end(), flags.begin(), flags.end());
 }
 
-/// Waits until a GET answers 200; throws after the limit.
-void waitForOk(event_base *loop, const Address &address, const std::string &path)
-{
-    const auto limit = std::chrono::steady_clock::now() + startLimit;
-    while (DeploymentProcesses::call(loop, address, {"GET", path, {}, {}, std::chrono::seconds(1)})
-               .status
-           != statusOk) {
-        if (std::chrono::steady_clock::now() > limit) {
-            throw std::runtime_error("no answer from " + address.toString() + path);
-        }
-        std::this_thread::sleep_for(pollPeriod);
-    }
-}
-
 } // namespace
 
 DeploymentProcesses::DeploymentProcesses(const Settings &settings)
     : m_settings(settings)
-    , m_deployment(loadOrThrow(settings.file))
+    , m_platform {ownNet() + "0.1", 7000}
     , m_processes(settings.logFolder)
-{ }
+{
+    m_settings.file = moveToOwnNet(settings.file, settings.logFolder);
+    m_deployment = loadOrThrow(m_settings.file);
+}
 
 void DeploymentProcesses::start(event_base *loop)
 {
@@ -68,7 +91,7 @@
 {
     m_processes.start("platform",
                       {m_settings.programs + "/standin-platform", "--deployment", m_settings.file,
-                       "--listen", m_settings.platform.toString()});
+                       "--listen", m_platform.toString()});
     for (const DomainShape &domain : m_deployment.failureDomains) {
         std::vector<std::string> command {m_settings.programs + "/standin-backend", "--deployment",
                                           m_settings.file, "--failure-domain", domain.name};
@@ -79,7 +102,7 @@
         }
         m_processes.start("backend-" + domain.name, command);
     }
-    waitForOk(loop, m_settings.platform, "/vms");
+    waitForOk(loop, m_platform, "/vms");
     for (const ServiceCatalog &service : catalogs()) {
         for (const auto &[id, server] : service.backendServers) {
             waitForOk(loop, server.address, "/health");
@@ -91,7 +114,7 @@
 {
     std::vector<std::string> command {m_settings.programs + "/pimentod"};
     append(command, {"--vm", vm.id, "--failure-domain", vm.failureDomain});
-    append(command, {"--platform", m_settings.platform.toString()});
+    append(command, {"--platform", m_platform.toString()});
     append(command, {"--caller-listen", callerAddress(vm).toString()});
     append(command, {"--operator-listen", operatorAddress(vm).toString()});
     append(command, {"--data-listen", Address {vm.host, dataPort}.toString()});
@@ -107,6 +130,28 @@
     }
 }
 
+void DeploymentProcesses::requireAllRunning() const
+{
+    if (const auto ended = m_processes.endedByItself()) {
+        throw std::runtime_error("process '" + *ended + "' ended at its start; see "
+                                 + m_settings.logFolder);
+    }
+}
+
+void DeploymentProcesses::waitForOk(event_base *loop, const Address &address,
+                                    const std::string &path) const
+{
+    const auto limit = std::chrono::steady_clock::now() + startLimit;
+    while (call(loop, address, {"GET", path, {}, {}, std::chrono::seconds(1)}).status != statusOk) {
+        requireAllRunning();
+        if (std::chrono::steady_clock::now() > limit) {
+            throw std::runtime_error("no answer from " + address.toString() + path);
+        }
+        std::this_thread::sleep_for(pollPeriod);
+    }
+    requireAllRunning();
+}
+
 std::vector<ServiceCatalog> DeploymentProcesses::catalogs() const
 {
     constexpr IndexVersion firstVersion = 1;
@@ -161,8 +206,8 @@
 
 void DeploymentProcesses::orderPlatform(event_base *loop, const nlohmann::json &order) const
 {
-    const HttpAnswer answer = call(loop, m_settings.platform,
-                                   {"POST", "/control", {}, order.dump(), std::chrono::seconds(5)});
+    const HttpAnswer answer
+        = call(loop, m_platform, {"POST", "/control", {}, order.dump(), std::chrono::seconds(5)});
     if (answer.status != statusOk) {
         throw std::runtime_error("the platform refused an order: " + answer.body);
     }
--- a/standins/DeploymentProcesses.h
+++ b/standins/DeploymentProcesses.h
@@ -20,12 +20,12 @@
 public:
     struct Settings
     {
-        /// Deployment file; its hosts are loopback addresses that nobody else uses.
+        /// Deployment file. Its hosts must be of the form 127.31.x.y; each run moves them to a
+        /// network of its own, so that runs side by side do not meet.
         std::string file;
         /// Folder of the built programs.
         std::string programs = "build";
         std::string logFolder = "out/bench";
-        Address platform {"127.31.0.1", 7000};
         /// Further flags of standin-backend and pimentod.
         std::vector<std::string> backendFlags;
         std::vector<std::string> vmFlags;
@@ -45,6 +45,7 @@
 
     const Deployment &deployment() const { return m_deployment; }
     ProcessGroup &processes() { return m_processes; }
+    const ProcessGroup &processes() const { return m_processes; }
     std::vector<ServiceCatalog> catalogs() const;
     static Address callerAddress(const VmRecord &vm);
     static Address operatorAddress(const VmRecord &vm);
@@ -56,10 +57,16 @@
     static HttpAnswer call(event_base *loop, const Address &address, const HttpCall &call);
     /// One order to the stand-in platform, such as {"mode":"down"}; throws where it is refused.
     void orderPlatform(event_base *loop, const nlohmann::json &order) const;
-    const Address &platform() const { return m_settings.platform; }
+    const Address &platform() const { return m_platform; }
 
 private:
+    /// Throws where a process that was started has ended, such as for an address in use: what
+    /// answers in its place would belong to somebody else.
+    void requireAllRunning() const;
+    void waitForOk(event_base *loop, const Address &address, const std::string &path) const;
+
     Settings m_settings;
+    Address m_platform;
     Deployment m_deployment;
     ProcessGroup m_processes;
 };
--- a/standins/ProcessGroup.cpp
+++ b/standins/ProcessGroup.cpp
@@ -118,6 +118,16 @@
         && info.si_pid == 0;
 }
 
+std::optional<std::string> ProcessGroup::endedByItself() const
+{
+    for (const Process &process : m_processes) {
+        if (!isRunning(process.name)) {
+            return process.name;
+        }
+    }
+    return std::nullopt;
+}
+
 Duration ProcessGroup::cpuTime(const std::string &name) const
 {
     clockid_t clock {};
--- a/standins/ProcessGroup.h
+++ b/standins/ProcessGroup.h
@@ -3,6 +3,7 @@
 #include "Pimentoward/Core/Types.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,8 @@
     /// SIGTERM in the reverse order of the starts, SIGKILL to what still runs after 5 s.
     void stopAll();
 
+    /// Name of a process that has ended without being waited for, or nothing.
+    std::optional<std::string> endedByItself() const;
     bool isRunning(const std::string &name) const;
     /// Processor time of one process so far; zero once it has ended.
     Duration cpuTime(const std::string &name) const;
