--- a/standins/ScenarioProcesses.cpp
+++ b/standins/ScenarioProcesses.cpp
@@ -15,8 +15,6 @@
 
 using Json = nlohmann::json;
 
-/// Scenarios have addresses of their own, so that benches may run at the same time.
-const Address platformAddress {"127.41.0.1", 7000};
 constexpr std::chrono::seconds longestLoad {120};
 constexpr std::chrono::seconds longestCall {30};
 constexpr double millisecondsPerSecond = 1000;
@@ -101,7 +99,6 @@
     language.add("start", [this](const Json &arguments) {
         DeploymentProcesses::Settings settings;
         settings.file = arguments.at(0).at("deployment").get<std::string>();
-        settings.platform = platformAddress;
         settings.programs = m_state->settings.programs;
         settings.logFolder = m_state->settings.logFolder;
         settings.vmFlags = arguments.at(0).value("vmFlags", std::vector<std::string>());
--- a/tests/scenarios/domain_out.lua
+++ b/tests/scenarios/domain_out.lua
@@ -1,6 +1,6 @@
 -- A failure domain is taken out and brought back by operators under load: no new work three seconds
 -- after acceptance, answers stay whole, no errors.
-start{deployment = "deployments/scenario.json"}
+start{deployment = "deployments/path-20.json"}
 load{rate = 40, seconds = 14}
 wait(1)
 local out = set("vm-1", {change = "domain-out", target = "a", reason = "power works", expectedRevision = 0})
--- a/tests/scenarios/frozen_owner.lua
+++ b/tests/scenarios/frozen_owner.lua
@@ -1,6 +1,6 @@
 -- An owner freezes at full load, the others take over, and it wakes again: no backend server gets
 -- more than its slots, and coverage is never overstated.
-start{deployment = "deployments/scenario.json"}
+start{deployment = "deployments/path-20.json"}
 load{rate = 40, seconds = 14}
 wait(2)
 freeze("vm-2")
--- a/tests/scenarios/lost_store_answers.lua
+++ b/tests/scenarios/lost_store_answers.lua
@@ -1,6 +1,6 @@
 -- Claims whose writes take effect while their answers are lost: no key runs twice, and what is
 -- refused as "not run" did not run.
-start{deployment = "deployments/scenario.json"}
+start{deployment = "deployments/path-20.json"}
 store("lose-answers")
 local refused = {}
 for n = 1, 5 do
--- a/tests/scenarios/lost_vm.lua
+++ b/tests/scenarios/lost_vm.lua
@@ -1,5 +1,5 @@
 -- A VM is lost under load; once its backend servers have other owners every answer is whole.
-start{deployment = "deployments/scenario.json"}
+start{deployment = "deployments/path-20.json"}
 kill("vm-3")
 wait(7)
 load{rate = 40, seconds = 4}
--- a/tests/scenarios/rolling_replacement.lua
+++ b/tests/scenarios/rolling_replacement.lua
@@ -1,5 +1,5 @@
 -- Every VM is replaced in turn under load, by planned stops: no request is cut.
-start{deployment = "deployments/scenario.json"}
+start{deployment = "deployments/path-20.json"}
 load{rate = 40, seconds = 30}
 wait(1)
 for n = 1, 3 do
--- a/tests/scenarios/store_outage.lua
+++ b/tests/scenarios/store_outage.lua
@@ -1,6 +1,6 @@
 -- The store goes silent for ten seconds: queries go on whole; an order is refused as "not run" and
 -- runs once, with the same key, when the store is back.
-start{deployment = "deployments/scenario.json"}
+start{deployment = "deployments/path-20.json"}
 local body = {service = "coach-app", key = "child-000001", idempotencyKey = "print-1", deadlineMs = 1500}
 load{rate = 40, seconds = 12}
 wait(1)
