--- a/src/Pimentoward/Process/ControlTaskMembers.cpp
+++ b/src/Pimentoward/Process/ControlTaskMembers.cpp
@@ -77,6 +77,7 @@
     m_store.read(membersKey, [this](const auto &stored, const Reason &) {
         m_listBusy = false;
         if (stored && stored->revision == 0) {
+            m_membership.onListAbsent();
             writeFirst();
             return;
         }
--- a/src/Pimentoward/Process/GrantTable.h
+++ b/src/Pimentoward/Process/GrantTable.h
@@ -28,6 +28,8 @@
     /// `startedAt`: what was granted before is forgotten, so the table waits a hold time from here.
     GrantTable(const MembershipSettings &settings, SteadyTime startedAt, RankHook rank);
 
+    /// Ends the wait: no earlier run of this member can have granted anything.
+    void skipRestartWait() { m_startedAt = {}; }
     /// Takes a heartbeat's asks (sorted): renews and gives grants, and takes back what the owner no
     /// longer asks for.
     void onAsks(const Ask &ask, const std::vector<BackendServerId> &asked, SteadyTime now);
--- a/src/Pimentoward/Process/Membership.cpp
+++ b/src/Pimentoward/Process/Membership.cpp
@@ -45,6 +45,13 @@
     m_settingsAreNewest = isNewest;
 }
 
+void Membership::onListAbsent()
+{
+    if (m_list.epoch() == 0) {
+        m_grants.skipRestartWait();
+    }
+}
+
 void Membership::onStoredList(const MemberRecord &record, SteadyTime now)
 {
     m_listIsNewest = true;
--- a/src/Pimentoward/Process/Membership.h
+++ b/src/Pimentoward/Process/Membership.h
@@ -46,6 +46,9 @@
     /// Without it, a handover waits for the longest dispatch.
     void onQuietQuestion(QuietHook hook) { m_isQuiet = std::move(hook); }
 
+    /// The store holds no member list yet: no run of any member has ever been ready, so there is no
+    /// earlier grant to wait for.
+    void onListAbsent();
     /// The member list as just read from, or written to, the store.
     void onStoredList(const MemberRecord &record, SteadyTime now);
     /// The platform's VM list, as just read.
--- a/tests/support/TestDeployment.cpp
+++ b/tests/support/TestDeployment.cpp
@@ -159,6 +159,19 @@
     return call(m_vms[vm].callerAddress, {"POST", "/query", {}, body, std::chrono::seconds(30)});
 }
 
+void TestDeployment::stopVm(std::size_t vm)
+{
+    m_vms[vm].control->stop();
+    m_vms[vm].query->stop();
+}
+
+std::string TestDeployment::state(std::size_t vm)
+{
+    Address address = m_vms[vm].callerAddress;
+    ++address.port;
+    return call(address, {"GET", "/state", {}, {}, std::chrono::seconds(5)}).body;
+}
+
 bool TestDeployment::waitUntilReady()
 {
     constexpr int statusOk = 200;
--- a/tests/support/TestDeployment.h
+++ b/tests/support/TestDeployment.h
@@ -28,6 +28,11 @@
     /// Sends one HTTP call and waits for its answer.
     HttpAnswer call(const Address &address, const HttpCall &call);
     HttpAnswer query(std::size_t vm, const std::string &body);
+    /// Stops a VM without any farewell.
+    void stopVm(std::size_t vm);
+    /// The VM's state dump, as JSON text.
+    std::string state(std::size_t vm);
+    ControlTask &control(std::size_t vm) { return *m_vms[vm].control; }
     /// Waits until every VM is ready; false where that takes too long.
     bool waitUntilReady();
 
