--- a/apps/standin-backend/main.cpp
+++ b/apps/standin-backend/main.cpp
@@ -1,6 +1,7 @@
 #include "Pimentoward/Core/Log.h"
 #include "Pimentoward/Process/SettingsReader.h"
 #include "Pimentoward/Process/SignalWatch.h"
+#include "Pimentoward/Process/Task.h"
 #include "standins/BackendServerProcess.h"
 #include "standins/Deployment.h"
 
@@ -104,7 +105,7 @@
         std::cerr << "standin-backend: " << reason.text << '\n';
         return static_cast<int>(ExitCode::InvalidSettings);
     }
-    event_base *loop = event_base_new();
+    event_base *loop = Task::newLoop();
     {
         Servers servers;
         for (const standins::ServiceShape &shape : deployment->services) {
--- a/src/Pimentoward/Process/Task.cpp
+++ b/src/Pimentoward/Process/Task.cpp
@@ -52,13 +52,22 @@
 {
     useThreadsOnce();
     m_state->name = std::move(name);
-    m_state->loop = event_base_new();
+    m_state->loop = newLoop();
     const auto onWakeup
         = [](evutil_socket_t, short, void *state) { static_cast<State *>(state)->drainInbox(); };
     m_state->wakeup = event_new(m_state->loop, -1, EV_PERSIST, onWakeup, m_state.get());
     event_add(m_state->wakeup, nullptr);
 }
 
+event_base *Task::newLoop()
+{
+    event_config *config = event_config_new();
+    event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+    event_base *loop = event_base_new_with_config(config);
+    event_config_free(config);
+    return loop;
+}
+
 Task::~Task()
 {
     stop();
--- a/src/Pimentoward/Process/Task.h
+++ b/src/Pimentoward/Process/Task.h
@@ -23,6 +23,8 @@
     Task(const Task &) = delete;
     Task &operator=(const Task &) = delete;
 
+    /// A loop whose timers keep to well below a millisecond. The caller frees it.
+    static event_base *newLoop();
     /// Runs `message` on the task's loop. Callable from every thread, in order per sender.
     void post(Message message);
     /// Starts the thread.
