Owner on dispatcher, pool and budget; settings and views in force at once

Cause: what waited was refused only when its turn came, settings were read at a backend server's first use alone, cancels were sent without a bound and searched every subrequest, the deadline given to the backend server was that of the queueing, and nothing heard a leaving or restarted server. Change: updateView() refuses what waits, closes idle connections and starts over after another owner may have served; settings apply to each view. The call is made and checked directly before its send. Replies tell incarnation and leaving; a wrong reply proves no end and closes its connection; a cancel's acknowledgement frees the slot; PeerUnreachable and refusals are proofs. Ruled out: a check at dispatch only (a call may wait for a connection after it). Whether a server is cold is judged by times that the owner sees: overhead near its service time hides it.

--- a/src/Pimentoward/Connection/BackendCall.cpp
+++ b/src/Pimentoward/Connection/BackendCall.cpp
@@ -86,4 +86,27 @@
     return reply;
 }
 
+bool BackendCall::provesEnd(ResultCode code, bool isAnswered)
+{
+    if (isAnswered) {
+        return code != ResultCode::WrongReply;
+    }
+    return code == ResultCode::PeerUnreachable || promisesNotRun(code);
+}
+
+bool BackendCall::acknowledgesCancel(const HttpAnswer &answer)
+{
+    return answer.status == statusOk;
+}
+
+Incarnation BackendCall::incarnation(const HttpAnswer &answer)
+{
+    return std::strtoull(answer.header("x-incarnation").c_str(), nullptr, 10);
+}
+
+bool BackendCall::isLeaving(const HttpAnswer &answer)
+{
+    return answer.header("x-leaving") == "1";
+}
+
 } // namespace pimentoward
--- a/src/Pimentoward/Connection/BackendCall.h
+++ b/src/Pimentoward/Connection/BackendCall.h
@@ -19,6 +19,15 @@
     /// one gets WrongReply.
     static Subreply readReply(const SubrequestBatch &batch, const SubrequestItem &item,
                               const HttpAnswer &answer);
+    /// True where an outcome proves that the backend server does not work on the subrequest any
+    /// more. An answer to another request proves nothing, nor does a lost one.
+    static bool provesEnd(ResultCode code, bool isAnswered);
+    /// True where the answer of cancel() proves that the work has ended.
+    static bool acknowledgesCancel(const HttpAnswer &answer);
+    /// The backend server's incarnation, 0 where the answer states none.
+    static Incarnation incarnation(const HttpAnswer &answer);
+    /// True where the answer says that the backend server is leaving.
+    static bool isLeaving(const HttpAnswer &answer);
     /// Unique id of a subrequest at the backend server: "REQUEST/NUMBER".
     static std::string subrequestId(const RequestId &requestId, std::uint32_t number);
 };
--- a/src/Pimentoward/Connection/Owner.cpp
+++ b/src/Pimentoward/Connection/Owner.cpp
@@ -1,16 +1,16 @@
 #include "Pimentoward/Connection/Owner.h"
 
 #include "Pimentoward/Connection/BackendCall.h"
+#include "Pimentoward/Connection/BackendConnectionPool.h"
 #include "Pimentoward/Connection/BackendDispatcher.h"
-#include "Pimentoward/Connection/HttpClient.h"
 #include "Pimentoward/Core/Log.h"
 #include "Pimentoward/Process/OperatorSettings.h"
 #include "Pimentoward/Process/Timer.h"
 
 #include <nlohmann/json.hpp>
 
-#include <algorithm>
-#include <map>
+#include <optional>
+#include <string>
 #include <unordered_map>
 
 namespace pimentoward {
@@ -20,6 +20,8 @@
 /// Time past the deadline that a backend server may take to report its end.
 constexpr std::chrono::milliseconds deadlineGrace {200};
 constexpr std::chrono::milliseconds timerPeriod {5};
+/// How long a backend server's word that it is leaving stands where it says no more.
+constexpr std::chrono::seconds leavingMemory {60};
 
 /// One subrequest from its arrival to its reply.
 struct OwnedSubrequest
@@ -27,7 +29,11 @@
     std::shared_ptr<const SubrequestBatch> batch;
     SubrequestItem item;
     SteadyTime deadline;
-    SteadyTime dispatched {};
+    /// When it was sent to the backend server.
+    std::optional<SteadyTime> sent;
+    bool cancelled = false;
+
+    std::string id() const { return BackendCall::subrequestId(batch->requestId, item.number); }
 };
 
 Subreply failureReply(const OwnedSubrequest &subrequest, const Reason &reason)
@@ -43,74 +49,121 @@
     return reply;
 }
 
+/// One backend server that this VM has owned since it started.
+struct OwnedBackend
+{
+    OwnedBackend(event_base *loop, const Clock &clock, ServiceName serviceName,
+                 const BackendServer &server, const BackendDispatcher::Settings &settings)
+        : service(std::move(serviceName))
+        , description(server)
+        , dispatcher(settings)
+        , pool(loop, clock, server.address, budgetSettings(server),
+               [this] { dispatcher.startOver(); })
+    { }
+
+    static ConnectionBudget::Settings budgetSettings(const BackendServer &server)
+    {
+        ConnectionBudget::Settings budget;
+        budget.connections = server.connections;
+        budget.slots = server.slots;
+        budget.connectionCost = server.connectionCost;
+        return budget;
+    }
+
+    ServiceName service;
+    BackendServer description;
+    BackendDispatcher dispatcher;
+    BackendConnectionPool pool;
+    std::unordered_map<DispatchToken, OwnedSubrequest> subrequests;
+    /// Until when its reply's word that it is leaving is believed.
+    SteadyTime leavingUntil {};
+};
+
 } // namespace
 
 struct Owner::State
 {
-    /// One backend server that this VM has owned since it started.
-    struct Backend
+    /// Where a subrequest is.
+    struct Place
     {
-        Backend(event_base *loop, const BackendServer &description,
-                const BackendDispatcher::Settings &settings)
-            : client(loop, description.address)
-            , dispatcher(settings)
-        { }
-
-        HttpClient client;
-        BackendDispatcher dispatcher;
-        std::map<DispatchToken, OwnedSubrequest> subrequests;
+        OwnedBackend *backend = nullptr;
+        DispatchToken token = 0;
     };
 
     event_base *loop = nullptr;
     const Clock *clock = nullptr;
     ReplyHook reply;
     std::shared_ptr<const ControlView> view;
-    std::unordered_map<BackendServerId, std::unique_ptr<Backend>> backends;
+    std::unordered_map<BackendServerId, std::unique_ptr<OwnedBackend>> backends;
+    /// By BackendCall::subrequestId().
+    std::unordered_map<std::string, Place> places;
     DispatchToken nextToken = 1;
     std::unique_ptr<Timer> timer;
     log4cplus::Logger log = Log::part("owner");
 
-    const BackendServer *describe(const SubrequestBatch &batch, const BackendServerId &id) const
+    const BackendServer *describe(const ServiceName &service, const BackendServerId &id) const
     {
-        const auto service = view->services.find(batch.service);
-        if (service == view->services.end()) {
+        if (view == nullptr) {
             return nullptr;
         }
-        const auto server = service->second->backendServers.find(id);
-        return server == service->second->backendServers.end() ? nullptr : &server->second;
+        const auto found = view->services.find(service);
+        if (found == view->services.end()) {
+            return nullptr;
+        }
+        const auto server = found->second->backendServers.find(id);
+        return server == found->second->backendServers.end() ? nullptr : &server->second;
+    }
+
+    BackendDispatcher::Settings dispatcherSettings(const ServiceName &service,
+                                                   const BackendServer &server) const
+    {
+        BackendDispatcher::Settings settings;
+        settings.slots = server.slots;
+        settings.grace = deadlineGrace;
+        const SettingsDocument &operators = *view->settings;
+        settings.queueLimit = static_cast<std::size_t>(
+            operators.integer(operator_settings::ownerQueueLimit, service));
+        settings.coldLimit = operators.integer(operator_settings::coldLimit, service);
+        settings.coldFactor = operators.real(operator_settings::coldFactor, service);
+        return settings;
     }
 
-    Backend &backendFor(const SubrequestBatch &batch, const BackendServer &description)
+    OwnedBackend &backendFor(const SubrequestBatch &batch, const BackendServer &server)
     {
-        auto &entry = backends[description.id];
+        auto &entry = backends[server.id];
         if (entry == nullptr) {
-            BackendDispatcher::Settings settings;
-            settings.slots = description.slots;
-            settings.queueLimit = static_cast<std::size_t>(
-                view->settings->integer(operator_settings::ownerQueueLimit, batch.service));
-            entry = std::make_unique<Backend>(loop, description, settings);
+            entry = std::make_unique<OwnedBackend>(loop, *clock, batch.service, server,
+                                                   dispatcherSettings(batch.service, server));
         }
         return *entry;
     }
 
-    std::optional<Reason> refusal(const BackendServer *description) const
+    bool isLeaving(const BackendServer &server) const
+    {
+        const auto known = backends.find(server.id);
+        const bool saysSo = known != backends.end() && clock->now() < known->second->leavingUntil;
+        return saysSo || server.leaving || view->settings->isOut(server.failureDomain);
+    }
+
+    /// Why no work may go to the backend server now.
+    std::optional<Reason> refusal(const BackendServer *server) const
     {
-        if (description == nullptr) {
+        if (server == nullptr) {
             return Reason {ResultCode::NotRunNotOwner, "the backend server is not known here"};
         }
         if (!view->hasContact(clock->now())) {
             return Reason {ResultCode::NotRunNoContact, {}};
         }
-        if (!view->mayDispatch(description->id, clock->now())) {
+        if (!view->mayDispatch(server->id, clock->now())) {
             return Reason {ResultCode::NotRunNotOwner, {}};
         }
-        if (description->leaving || view->settings->isOut(description->failureDomain)) {
+        if (isLeaving(*server)) {
             return Reason {ResultCode::NotRunLeaving, "the backend server is out of service"};
         }
         return std::nullopt;
     }
 
-    void send(const OwnedSubrequest &subrequest, Subreply answer, const Backend *backend) const
+    void send(const OwnedSubrequest &subrequest, Subreply answer, const OwnedBackend *backend) const
     {
         if (backend != nullptr) {
             answer.load = backend->dispatcher.load();
@@ -118,71 +171,142 @@
         reply(subrequest.batch->coordinator, answer);
     }
 
-    void apply(Backend &backend, const BackendDispatcher::Actions &actions)
+    void add(OwnedBackend &backend, OwnedSubrequest subrequest)
+    {
+        const DispatchToken token = nextToken++;
+        const RequestClass requestClass = subrequest.batch->requestClass;
+        const SteadyTime deadline = subrequest.deadline;
+        places[subrequest.id()] = {&backend, token};
+        backend.subrequests.emplace(token, std::move(subrequest));
+        apply(backend, backend.dispatcher.enqueue(token, requestClass, deadline, clock->now()));
+    }
+
+    OwnedSubrequest remove(OwnedBackend &backend, DispatchToken token)
+    {
+        const auto found = backend.subrequests.find(token);
+        OwnedSubrequest subrequest = std::move(found->second);
+        backend.subrequests.erase(found);
+        const auto place = places.find(subrequest.id());
+        if (place != places.end() && place->second.token == token) {
+            places.erase(place);
+        }
+        return subrequest;
+    }
+
+    void apply(OwnedBackend &backend, const BackendDispatcher::Actions &actions)
     {
         for (const BackendDispatcher::Action &action : actions) {
             if (const auto *dispatch = std::get_if<BackendDispatcher::Dispatch>(&action)) {
                 this->dispatch(backend, dispatch->token);
             } else if (const auto *refuse = std::get_if<BackendDispatcher::Refuse>(&action)) {
-                finish(backend, refuse->token, refuse->reason);
+                const OwnedSubrequest subrequest = remove(backend, refuse->token);
+                send(subrequest, failureReply(subrequest, refuse->reason), &backend);
             } else if (const auto *stop = std::get_if<BackendDispatcher::CancelRunning>(&action)) {
                 cancelRunning(backend, stop->token);
             }
         }
     }
 
-    void finish(Backend &backend, DispatchToken token, const Reason &reason)
+    void dispatch(OwnedBackend &backend, DispatchToken token)
     {
-        const auto found = backend.subrequests.find(token);
-        const OwnedSubrequest subrequest = std::move(found->second);
-        backend.subrequests.erase(found);
-        send(subrequest, failureReply(subrequest, reason), &backend);
+        backend.pool.send(
+            [this, &backend, token](Reason &reason) { return callFor(backend, token, reason); },
+            backend.subrequests.at(token).deadline,
+            [this, &backend, token](const std::optional<HttpAnswer> &answer, const Reason &reason) {
+                onEnded(backend, token, answer, reason);
+            });
     }
 
-    void dispatch(Backend &backend, DispatchToken token)
+    /// Runs directly before the send: the view may have aged while the subrequest waited, and the
+    /// time left is what is left now.
+    std::optional<HttpCall> callFor(OwnedBackend &backend, DispatchToken token,
+                                    Reason &reason) const
     {
         OwnedSubrequest &subrequest = backend.subrequests.at(token);
-        // Checked directly before the send: the view may have aged while the subrequest waited.
-        const SteadyTime now = clock->now();
-        if (const auto refused
-            = refusal(describe(*subrequest.batch, subrequest.item.backendServer))) {
-            finish(backend, token, *refused);
-            apply(backend, backend.dispatcher.onOutcome(token, {refused->code, {}, true}, now));
-            return;
+        if (subrequest.cancelled) {
+            reason = {ResultCode::NotRunCancelled, "cancelled before dispatch"};
+            return std::nullopt;
         }
-        subrequest.dispatched = now;
-        backend.client.send(
-            BackendCall::run(*subrequest.batch, subrequest.item, subrequest.deadline - now,
-                             deadlineGrace),
-            [this, &backend, token](const std::optional<HttpAnswer> &answer, const Reason &reason) {
-                onEnded(backend, token, answer, reason);
-            });
+        if (const auto refused = refusal(describe(backend.service, backend.description.id))) {
+            reason = *refused;
+            return std::nullopt;
+        }
+        subrequest.sent = clock->now();
+        return BackendCall::run(*subrequest.batch, subrequest.item,
+                                subrequest.deadline - *subrequest.sent, deadlineGrace);
     }
 
-    void onEnded(Backend &backend, DispatchToken token, const std::optional<HttpAnswer> &answer,
-                 const Reason &reason)
+    void onEnded(OwnedBackend &backend, DispatchToken token,
+                 const std::optional<HttpAnswer> &answer, const Reason &reason)
     {
-        const auto found = backend.subrequests.find(token);
-        const OwnedSubrequest subrequest = std::move(found->second);
-        backend.subrequests.erase(found);
+        const OwnedSubrequest subrequest = remove(backend, token);
         const SteadyTime now = clock->now();
         const Subreply result = answer
             ? BackendCall::readReply(*subrequest.batch, subrequest.item, *answer)
             : failureReply(subrequest, reason);
-        const bool isProved = answer.has_value() || reason.code == ResultCode::PeerUnreachable;
-        const BackendDispatcher::Outcome outcome {result.code, now - subrequest.dispatched,
-                                                  isProved};
+        BackendDispatcher::Outcome outcome;
+        outcome.code = result.code;
+        outcome.serviceTime = now - subrequest.sent.value_or(now);
+        outcome.isProved = BackendCall::provesEnd(result.code, answer.has_value());
+        if (answer) {
+            outcome.incarnation = BackendCall::incarnation(*answer);
+            noteLeaving(backend, *answer, now);
+        }
+        if (result.code == ResultCode::WrongReply) {
+            // A connection that is one answer behind would stay so.
+            backend.pool.closeIdle();
+        }
         const auto actions = backend.dispatcher.onOutcome(token, outcome, now);
         send(subrequest, result, &backend);
         apply(backend, actions);
     }
 
-    void cancelRunning(Backend &backend, DispatchToken token)
+    void noteLeaving(OwnedBackend &backend, const HttpAnswer &answer, SteadyTime now)
+    {
+        if (!BackendCall::isLeaving(answer)) {
+            backend.leavingUntil = {};
+            return;
+        }
+        if (now >= backend.leavingUntil) {
+            LOG4CPLUS_INFO(log, "Backend server " << backend.description.id << " is leaving");
+        }
+        backend.leavingUntil = now + leavingMemory;
+        apply(backend,
+              backend.dispatcher.refuseAll(
+                  {ResultCode::NotRunLeaving, "the backend server is leaving"}));
+    }
+
+    void cancelRunning(OwnedBackend &backend, DispatchToken token)
     {
-        const OwnedSubrequest &subrequest = backend.subrequests.at(token);
-        backend.client.send(
+        OwnedSubrequest &subrequest = backend.subrequests.at(token);
+        subrequest.cancelled = true;
+        if (!subrequest.sent) {
+            return;
+        }
+        backend.pool.sendCancel(
             BackendCall::cancel(subrequest.batch->requestId, subrequest.item.number, deadlineGrace),
-            [](const std::optional<HttpAnswer> &, const Reason &) {});
+            [this, &backend, token](const std::optional<HttpAnswer> &answer, const Reason &) {
+                if (answer && BackendCall::acknowledgesCancel(*answer)) {
+                    apply(backend, backend.dispatcher.onCancelAcknowledged(token, clock->now()));
+                }
+            });
+    }
+
+    /// Brings one backend server in line with a view that has just come.
+    void refresh(OwnedBackend &backend, bool couldDispatch)
+    {
+        const BackendServer *server = describe(backend.service, backend.description.id);
+        if (server != nullptr) {
+            backend.dispatcher.updateSettings(dispatcherSettings(backend.service, *server));
+        }
+        if (const auto refused = refusal(server)) {
+            apply(backend, backend.dispatcher.refuseAll(*refused));
+            backend.pool.closeIdle();
+        } else if (!couldDispatch) {
+            // Another owner may have driven it meanwhile.
+            backend.dispatcher.startOver();
+            backend.pool.startOver();
+        }
     }
 
     void onTimer()
@@ -210,44 +334,38 @@
 
 void Owner::updateView(std::shared_ptr<const ControlView> view)
 {
+    const SteadyTime now = m_state->clock->now();
+    const std::shared_ptr<const ControlView> former = std::move(m_state->view);
     m_state->view = std::move(view);
+    for (auto &[id, backend] : m_state->backends) {
+        m_state->refresh(*backend, former->mayDispatch(id, now));
+    }
 }
 
 void Owner::take(const SubrequestBatch &batch)
 {
     const auto shared = std::make_shared<const SubrequestBatch>(batch);
-    const SteadyTime now = m_state->clock->now();
-    const SteadyTime deadline = now + batch.timeLeft;
+    const SteadyTime deadline = m_state->clock->now() + batch.timeLeft;
     for (const SubrequestItem &item : batch.items) {
-        OwnedSubrequest subrequest {shared, item, deadline, {}};
-        const BackendServer *description = m_state->describe(batch, item.backendServer);
-        if (const auto refused = m_state->refusal(description)) {
+        OwnedSubrequest subrequest {shared, item, deadline, {}, false};
+        const BackendServer *server = m_state->describe(batch.service, item.backendServer);
+        if (const auto refused = m_state->refusal(server)) {
             m_state->send(subrequest, failureReply(subrequest, *refused), nullptr);
-            continue;
+        } else {
+            m_state->add(m_state->backendFor(batch, *server), std::move(subrequest));
         }
-        State::Backend &backend = m_state->backendFor(batch, *description);
-        const DispatchToken token = m_state->nextToken++;
-        backend.subrequests[token] = std::move(subrequest);
-        m_state->apply(backend,
-                       backend.dispatcher.enqueue(token, batch.requestClass, deadline, now));
     }
 }
 
 void Owner::cancel(const SubrequestCancel &cancel)
 {
     const SteadyTime now = m_state->clock->now();
-    for (auto &[id, backend] : m_state->backends) {
-        std::vector<DispatchToken> tokens;
-        for (const auto &[token, subrequest] : backend->subrequests) {
-            const bool isNamed
-                = std::count(cancel.numbers.begin(), cancel.numbers.end(), subrequest.item.number)
-                > 0;
-            if (isNamed && subrequest.batch->requestId == cancel.requestId) {
-                tokens.push_back(token);
-            }
-        }
-        for (const DispatchToken token : tokens) {
-            m_state->apply(*backend, backend->dispatcher.cancel(token, now));
+    for (const std::uint32_t number : cancel.numbers) {
+        const auto found
+            = m_state->places.find(BackendCall::subrequestId(cancel.requestId, number));
+        if (found != m_state->places.end()) {
+            const State::Place place = found->second;
+            m_state->apply(*place.backend, place.backend->dispatcher.cancel(place.token, now));
         }
     }
 }
@@ -270,6 +388,7 @@
                       {"limit", load.limit},
                       {"queue", load.queueLength},
                       {"cold", load.cold},
+                      {"connections", backend->pool.connections()},
                       {"serviceTimeMicros", load.serviceTime.count()}};
     }
     return result;
--- /dev/null
+++ b/tests/Connection/OwnerTest.cpp
@@ -0,0 +1,216 @@
+#include "Pimentoward/Connection/Owner.h"
+
+#include "Pimentoward/Connection/HttpConnection.h"
+#include "Pimentoward/Core/SystemClock.h"
+#include "Pimentoward/Process/OperatorSettings.h"
+#include "Pimentoward/Process/Task.h"
+#include "standins/BackendServerProcess.h"
+#include "standins/Deployment.h"
+
+#include <catch2/catch.hpp>
+#include <event2/event.h>
+#include <nlohmann/json.hpp>
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <random>
+
+using namespace pimentoward;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// An owner and one stand-in backend server with three slots on one loop.
+class OwnerFixture
+{
+public:
+    explicit OwnerFixture(int warmUpRuns, std::chrono::microseconds serviceTime)
+        : m_loop(Task::newLoop())
+    {
+        standins::Deployment deployment;
+        const int process = static_cast<int>(getpid());
+        deployment.failureDomains.push_back({"a",
+                                             "127.200." + std::to_string(process / 250 % 250) + "."
+                                                 + std::to_string(process % 250 + 1)});
+        standins::ServiceShape shape;
+        shape.name = "coach-app";
+        shape.recordKind = "badges";
+        shape.records = 100;
+        shape.shards = 1;
+        shape.replicas = 1;
+        shape.slots = 3;
+        shape.connections = 30;
+        shape.firstPort = 21000;
+        const ServiceCatalog catalog = deployment.catalog(shape, 1);
+        m_services["coach-app"] = std::make_shared<const ServiceCatalog>(catalog);
+        standins::BackendServerModel::Settings model;
+        model.slots = shape.slots;
+        model.serviceTime = serviceTime;
+        model.warmUpRuns = warmUpRuns;
+        const auto records = std::make_shared<const standins::RecordSet>(
+            standins::RecordSet::ofKind("badges", 1, shape.records));
+        const BackendServer &server = catalog.backendServers.begin()->second;
+        m_backend = std::make_unique<standins::BackendServerProcess>(m_loop, server, catalog,
+                                                                     records, model);
+        Reason reason;
+        REQUIRE(m_backend->listen(reason));
+        m_owner
+            = std::make_unique<Owner>(m_loop, m_clock, [this](const MemberId &, const Subreply &r) {
+                  m_replies.push_back(r);
+              });
+        showView({});
+    }
+    ~OwnerFixture()
+    {
+        m_owner.reset();
+        m_backend.reset();
+        event_base_free(m_loop);
+    }
+    OwnerFixture(const OwnerFixture &) = delete;
+    OwnerFixture &operator=(const OwnerFixture &) = delete;
+
+    /// Hands over a view with these defaults of the operators' settings.
+    void showView(const std::map<std::string, std::string> &defaults, bool owns = true)
+    {
+        auto document = std::make_shared<SettingsDocument>();
+        document->defaults = defaults;
+        auto view = std::make_shared<ControlView>();
+        view->contactUntil = m_clock.now() + 1h;
+        view->services = m_services;
+        view->settings = document;
+        if (owns) {
+            view->ownedUntil[server()] = m_clock.now() + 1h;
+        }
+        m_owner->updateView(view);
+    }
+    void take(std::uint32_t first, std::uint32_t count, std::chrono::milliseconds timeLeft)
+    {
+        SubrequestBatch batch;
+        batch.requestId = "request";
+        batch.coordinator = "vm";
+        batch.service = "coach-app";
+        batch.version = 1;
+        batch.timeLeft = timeLeft;
+        batch.body = "{}";
+        const Shard &shard = m_services["coach-app"]->versions.front().shards->shards().front();
+        for (std::uint32_t number = first; number < first + count; ++number) {
+            batch.items.push_back({number, shard.name, server()});
+        }
+        m_owner->take(batch);
+    }
+    template <typename Condition>
+    void runUntil(Condition condition)
+    {
+        while (!condition()) {
+            event_base_loop(m_loop, EVLOOP_ONCE);
+        }
+    }
+    void control(const std::string &body)
+    {
+        HttpConnection connection(m_loop,
+                                  m_services["coach-app"]->backendServers.at(server()).address);
+        bool isDone = false;
+        connection.send({"POST", "/control", {}, body, 5s},
+                        [&](const auto &, auto &) { isDone = true; });
+        runUntil([&] { return isDone; });
+    }
+    std::ptrdiff_t replied(ResultCode code) const
+    {
+        return std::count_if(m_replies.begin(), m_replies.end(),
+                             [code](const Subreply &reply) { return reply.code == code; });
+    }
+    BackendServerId server() const
+    {
+        return m_services.at("coach-app")->backendServers.begin()->first;
+    }
+    std::vector<Subreply> &replies() { return m_replies; }
+    Owner &owner() { return *m_owner; }
+    standins::BackendServerModel &model() { return m_backend->model(); }
+    nlohmann::json dump() const { return m_owner->dump().at(server()); }
+
+private:
+    SystemClock m_clock;
+    event_base *m_loop;
+    std::map<ServiceName, std::shared_ptr<const ServiceCatalog>> m_services;
+    std::unique_ptr<standins::BackendServerProcess> m_backend;
+    std::vector<Subreply> m_replies;
+    std::unique_ptr<Owner> m_owner;
+};
+
+} // namespace
+
+TEST_CASE("What waits is refused at once when a failure domain is out or ownership is lost",
+          "[connection][task]")
+{
+    const bool isOut = GENERATE(true, false);
+    OwnerFixture fixture(0, 20ms);
+    fixture.take(0, 10, 30s);
+    fixture.runUntil([&] { return fixture.model().running() > 0; });
+    if (isOut) {
+        fixture.showView({{operator_settings::domainOut, "true"}});
+    } else {
+        fixture.showView({}, false);
+    }
+    // Before the loop has turned once.
+    CHECK(fixture.replied(isOut ? ResultCode::NotRunLeaving : ResultCode::NotRunNotOwner) == 9);
+    fixture.runUntil([&] { return fixture.replies().size() == 10; });
+    CHECK(fixture.model().records().size() == 1);
+}
+
+TEST_CASE("A backend server that says it is leaving gets no further work", "[connection][task]")
+{
+    OwnerFixture fixture(0, 1ms);
+    fixture.control(R"({"leaving": true})");
+    fixture.take(0, 10, 30s);
+    fixture.runUntil([&] { return fixture.replies().size() == 10; });
+    CHECK(fixture.replied(ResultCode::Ok) == 1);
+    CHECK(fixture.replied(ResultCode::NotRunLeaving) == 9);
+    CHECK(fixture.model().records().size() == 1);
+}
+
+TEST_CASE("The owner keeps a new backend server within what it bears", "[connection][task]")
+{
+    OwnerFixture fixture(30, 500us);
+    std::mt19937 random(7);
+    constexpr std::size_t rounds = 40;
+    constexpr std::uint32_t batch = 10;
+    constexpr std::size_t all = rounds * batch;
+    for (std::uint32_t first = 0; first < all; first += batch) {
+        fixture.take(first, batch, 30s);
+        const auto cancelled = static_cast<std::uint32_t>(random() % batch);
+        fixture.owner().cancel({"request", "vm", {first + cancelled}});
+        fixture.runUntil([&] { return fixture.replies().size() + batch >= first; });
+    }
+    fixture.runUntil([&] { return fixture.replies().size() == all; });
+    const auto &counts = fixture.model().statistics();
+    CHECK(counts.overloaded == 0);
+    CHECK(counts.coldOverloaded == 0);
+
+    // A restart at full load: the resets alone make it cold again, before any reply.
+    fixture.take(all, 30, 200ms);
+    fixture.runUntil([&] { return fixture.model().running() > 0; });
+    fixture.control(R"({"restart": true})");
+    fixture.runUntil([&] { return fixture.dump().at("cold").get<bool>(); });
+    CHECK(fixture.dump().at("limit") == 1);
+    CHECK(fixture.dump().at("inFlight") >= 1);
+    fixture.runUntil([&] { return fixture.replies().size() == all + 30; });
+    CHECK(counts.overloaded == 0);
+}
+
+TEST_CASE("Replies carry the true load, by the settings of the present view", "[connection][task]")
+{
+    OwnerFixture fixture(0, 20ms);
+    fixture.take(0, 4, 30s);
+    fixture.runUntil([&] { return fixture.replies().size() == 1; });
+    const LoadReport load = fixture.replies().front().load;
+    CHECK(load.limit == 1);
+    CHECK(load.cold);
+    CHECK(load.queueLength == 2);
+    CHECK(load.serviceTime > 5ms);
+    fixture.showView(
+        {{operator_settings::coldLimit, "2"}, {operator_settings::ownerQueueLimit, "1"}});
+    CHECK(fixture.dump().at("limit") == 2);
+    fixture.take(4, 4, 30s);
+    CHECK(fixture.replied(ResultCode::NotRunOverloaded) >= 3);
+}
