Measure the return to full rate after a restart; stand-in answers its restart

Cause: nothing bounded how long the cold start decision takes; POST /control's restart cut its own answer off. Ruled out: nothing.

--- a/standins/BackendServerProcess.cpp
+++ b/standins/BackendServerProcess.cpp
@@ -89,6 +89,7 @@
 
 void BackendServerProcess::noteConnection(evhttp_connection *connection)
 {
+    m_connectionAtHand = connection;
     m_isNewConnection = m_connections.insert(connection).second;
     if (!m_isNewConnection) {
         return;
@@ -193,6 +194,9 @@
 void BackendServerProcess::restart()
 {
     for (evhttp_connection *connection : m_connections) {
+        if (connection == m_connectionAtHand) {
+            continue;
+        }
         // Ended from the socket, as the system does for a process that has gone.
         shutdown(bufferevent_getfd(evhttp_connection_get_bufferevent(connection)), SHUT_RDWR);
     }
--- a/standins/BackendServerProcess.h
+++ b/standins/BackendServerProcess.h
@@ -78,6 +78,8 @@
     std::size_t m_mostConnections = 0;
     std::uint64_t m_connectionsOpened = 0;
     std::uint64_t m_connectionsRefused = 0;
+    /// That of the request at hand; a restart spares it, so that POST /control is answered.
+    evhttp_connection *m_connectionAtHand = nullptr;
     /// True while the request at hand is the first on its connection.
     bool m_isNewConnection = false;
     bool m_leaving = false;
--- a/tests/Connection/BackendDispatcherTest.cpp
+++ b/tests/Connection/BackendDispatcherTest.cpp
@@ -2,6 +2,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <optional>
+#include <vector>
+
 using namespace pimentoward;
 using namespace std::chrono_literals;
 using tests::BackendFake;
@@ -133,6 +137,40 @@
     checkHonest(findings);
 }
 
+TEST_CASE("After a restart the full rate is back within twice the server's own warm-up",
+          "[connection]")
+{
+    constexpr std::uint32_t runs = 60;
+    constexpr auto restartAt = 800ms;
+    // 60 runs one at a time, from 8 ms down to 1 ms, and 1.2 ms on the way each.
+    constexpr Duration warmUp = 60 * (4500us + 1200us);
+    std::vector<Duration> recoveries;
+    for (std::uint32_t seed = 1; seed <= runs; ++seed) {
+        auto settings = faulty();
+        settings.lostReplies = settings.brokenConnections = 0;
+        settings.model.seed = seed;
+        BackendFake fake(settings, seed);
+        fake.arrive(arrivals + 400, spacing);
+        fake.after(restartAt, [&fake] { fake.restart(); });
+        std::optional<Duration> recovery;
+        for (Duration passed = 2ms; passed < 900ms; passed += 1ms) {
+            fake.after(restartAt + passed, [&, passed] {
+                if (!recovery && !fake.dispatcher().coldStart().isCold()) {
+                    recovery = passed;
+                }
+            });
+        }
+        fake.runToEnd();
+        recoveries.push_back(recovery.value_or(1h));
+    }
+    std::sort(recoveries.begin(), recoveries.end());
+    const auto millis = [](Duration duration) { return duration / 1ms; };
+    INFO("median " << millis(recoveries[runs / 2]) << " ms, most " << millis(recoveries.back())
+                   << " ms, warm-up " << millis(warmUp) << " ms");
+    CHECK(recoveries[runs / 2] <= 2 * warmUp);
+    CHECK(recoveries.back() <= 2 * warmUp);
+}
+
 TEST_CASE("Without the cold limit the backend server collapses", "[connection]")
 {
     auto settings = faulty();
