A cold start known for sure is held by a number of successes, not by speed alone

Cause: on real processes (24 callers, 80 backend servers in one stand-in process, 2 ms of service seen as 23 ms) the restart of 28 backend servers made 20 and 22 of them collapse: time on the way hid that a cold server was slow, so its successes passed as normal. Change: after a new incarnation or a refusal the speed counts only after as many successes one at a time as a first contact needs (64). Ruled out: learning the normal speed from fast successes only (the way to the server has no fast ones when it is busy); the same for broken connections (they are common without a restart, and a restart shows in the next reply's incarnation). A silent turn to cold that time on the way hides is not recognised; nothing that the owner sees differs then. A warm-up longer than 64 runs at hidden speed is not covered either.

--- a/src/Pimentoward/Connection/BackendDispatcher.cpp
+++ b/src/Pimentoward/Connection/BackendDispatcher.cpp
@@ -127,6 +127,7 @@
     cold.coldLimit = settings.coldLimit;
     cold.coldFactor = settings.coldFactor;
     cold.isGuarding = settings.guardsColdStart;
+    cold.holdsBySuccesses = settings.holdsColdBySuccesses;
     return cold;
 }
 
@@ -157,6 +158,8 @@
         m_coldStart.onSuccess(outcome.serviceTime, generation);
         break;
     case ResultCode::NotRunRefusedByBackend:
+        m_coldStart.onRefused();
+        break;
     case ResultCode::PeerUnreachable:
     case ResultCode::MayHaveRun:
         m_coldStart.onTrouble();
--- a/src/Pimentoward/Connection/BackendDispatcher.h
+++ b/src/Pimentoward/Connection/BackendDispatcher.h
@@ -37,6 +37,8 @@
         bool needsProof = true;
         /// Only for tests and benchmarks: false dispatches up to `slots` also to a cold server.
         bool guardsColdStart = true;
+        /// Only for tests and benchmarks: false lets speed alone end a cold start.
+        bool holdsColdBySuccesses = true;
         /// Only for tests and benchmarks: false keeps what can no longer be served in time.
         bool shedsLate = true;
     };
--- a/src/Pimentoward/Connection/ColdStart.cpp
+++ b/src/Pimentoward/Connection/ColdStart.cpp
@@ -111,7 +111,18 @@
         return;
     }
     m_incarnation = incarnation;
+    onColdForSure();
+}
+
+void ColdStart::onRefused()
+{
+    onColdForSure();
+}
+
+void ColdStart::onColdForSure()
+{
     becomeCold();
+    m_heldSuccesses = m_settings.holdsBySuccesses ? m_settings.firstSamples : 0;
 }
 
 int ColdStart::limit() const
@@ -149,6 +160,11 @@
     m_learning.push_back(serviceTime);
     if (m_phase == Phase::Cold && learnNormal()) {
         m_step.clear();
+        m_heldSuccesses = 0;
+        return;
+    }
+    if (m_heldSuccesses > 0) {
+        --m_heldSuccesses;
         return;
     }
     if (!m_normal) {
--- a/src/Pimentoward/Connection/ColdStart.h
+++ b/src/Pimentoward/Connection/ColdStart.h
@@ -30,12 +30,16 @@
         double normalFactor = 1.2;
         /// Slow successes in a row that send a warm server back to cold.
         int slowInRow = 3;
-        /// Successes from which a normal service time is learned where none is known.
+        /// Successes from which a normal service time is learned where none is known, and that a
+        /// server which is cold for sure needs before its speed counts: time on the way may hide
+        /// how slow it is.
         int firstSamples = 64;
         /// Successes at an even but slower speed after which that speed is the normal one.
         int relearnSamples = 256;
         /// Only for tests and benchmarks: false leaves the limit at `slots` always.
         bool isGuarding = true;
+        /// Only for tests and benchmarks: false lets speed alone raise the limit.
+        bool holdsBySuccesses = true;
     };
 
     explicit ColdStart(const Settings &settings);
@@ -46,8 +50,10 @@
     void onSuccess(Duration serviceTime, std::uint64_t generation);
     /// A subrequest ended without success after `serviceTime`; only slowness counts.
     void onStopped(Duration serviceTime, std::uint64_t generation);
-    /// The backend server refused work, a connection broke or an answer is missing.
+    /// A connection broke or an answer is missing.
     void onTrouble();
+    /// The backend server refused work.
+    void onRefused();
     /// The incarnation that a reply states; 0 is ignored.
     void onIncarnation(Incarnation incarnation);
 
@@ -69,6 +75,8 @@
     void stepUpIfNormal();
     bool learnNormal();
     void becomeCold();
+    /// A new incarnation or a refusal: cold whatever its speed seems to be.
+    void onColdForSure();
 
     Settings m_settings;
     Phase m_phase = Phase::Cold;
@@ -76,6 +84,8 @@
     int m_slow = 0;
     std::uint64_t m_generation = 1;
     Incarnation m_incarnation = 0;
+    /// Successes still to come before the speed counts.
+    int m_heldSuccesses = 0;
     std::optional<Duration> m_normal;
     /// Least median of a quarter of the first successes, until the normal service time is known.
     std::optional<Duration> m_fastest;
--- a/tests/Connection/BackendDispatcherTest.cpp
+++ b/tests/Connection/BackendDispatcherTest.cpp
@@ -50,14 +50,15 @@
 
 using Script = std::function<void(BackendFake &)>;
 
-Findings search(const BackendFake::Settings &settings, const Script &script)
+Findings search(const BackendFake::Settings &settings, const Script &script,
+                std::uint32_t runs = seeds, Duration apart = spacing)
 {
     Findings all;
-    for (std::uint32_t seed = 1; seed <= seeds; ++seed) {
+    for (std::uint32_t seed = 1; seed <= runs; ++seed) {
         BackendFake::Settings seeded = settings;
         seeded.model.seed = seed;
         BackendFake fake(seeded, seed);
-        fake.arrive(arrivals, spacing);
+        fake.arrive(arrivals, apart);
         script(fake);
         fake.runToEnd();
         const auto &counts = fake.model().statistics();
@@ -127,6 +128,22 @@
     checkHonest(findings);
 }
 
+TEST_CASE("A restart is survived where time on the way hides how slow a cold server is",
+          "[connection]")
+{
+    auto settings = faulty();
+    settings.shortestDelay = 10ms;
+    settings.longestDelay = 14ms;
+    const auto restartOnce
+        = [](BackendFake &fake) { fake.after(4000ms, [&fake] { fake.restart(); }); };
+    const Findings findings = search(settings, restartOnce, 60, 8ms);
+    CHECK(findings.overloaded == 0);
+    CHECK(findings.coldOverloaded == 0);
+    CHECK(findings.collapses == 0);
+    settings.dispatcher.holdsColdBySuccesses = false;
+    CHECK(search(settings, restartOnce, 60, 8ms).collapses > 0);
+}
+
 TEST_CASE("A silent turn to cold at full load, twice, causes no collapse", "[connection]")
 {
     const Findings findings = search(faulty(), turnColdTwice);
