Search seeds for false answers under faults of replies, repartitions and lost versions

Cause: the request decisions stood without a search; their counters prove nothing about themselves. Change: QueryFake, one coordinator among fake owners on a virtual clock, whose own records the checkers read: one version an answer, own and whole records, coverage and missing shards against what was handed over in time, one answer by the deadline, extra load in every second, new work after a take-out. Conclusion: virtual time only; queueing at the backend servers and the hop are not in the comparison.

--- /dev/null
+++ b/tests/Request/QueryFaultsTest.cpp
@@ -0,0 +1,222 @@
+#include "tests/support/QueryFake.h"
+
+#include "Pimentoward/Process/OperatorSettings.h"
+
+#include <catch2/catch.hpp>
+
+using namespace pimentoward;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using tests::QueryFake;
+
+namespace {
+
+constexpr unsigned seeds = 200;
+
+using Script = std::function<void(QueryFake &, unsigned seed)>;
+
+/// All faults of replies at once.
+QueryFake::Settings faulty()
+{
+    QueryFake::Settings settings;
+    settings.lost = 0.005;
+    settings.failed = 0.02;
+    settings.doubled = 0.1;
+    settings.crossed = 0.05;
+    settings.wrongVersion = 0.01;
+    settings.cutBody = 0.01;
+    return settings;
+}
+
+QueryFake::Findings runSeeds(QueryFake::Settings settings, const Script &script,
+                             unsigned count = seeds)
+{
+    QueryFake::Findings total;
+    for (unsigned seed = 0; seed < count; ++seed) {
+        settings.seed = seed;
+        QueryFake fake(settings);
+        script(fake, seed);
+        const auto found = fake.run();
+        const bool isGood = found.untruths() == 0 && found.notAnsweredOnce == 0
+            && found.extrasAboveBudget == 0 && found.newWorkAfterOut == 0;
+        if (!isGood && total.untruths() == 0) {
+            UNSCOPED_INFO("first bad seed " << seed);
+        }
+        total.add(found);
+    }
+    return total;
+}
+
+void requireGood(const QueryFake::Findings &found)
+{
+    CHECK(found.mixedVersions == 0);
+    CHECK(found.foreignRecords == 0);
+    CHECK(found.cutBodies == 0);
+    CHECK(found.wrongCoverage == 0);
+    CHECK(found.notAnsweredOnce == 0);
+    CHECK(found.extrasAboveBudget == 0);
+    CHECK(found.newWorkAfterOut == 0);
+    REQUIRE(!found.latencies.empty());
+}
+
+/// Two repartitions; the version before each is dropped soon after, the second time at once.
+void repartitionTwice(QueryFake &fake, unsigned seed)
+{
+    const milliseconds start(100 + seed % 50);
+    fake.at(start, [&fake] { fake.release(2, 4); });
+    fake.at(start + milliseconds(seed % 7), [&fake] { fake.drop(1); });
+    fake.at(start + milliseconds(8), [&fake] { fake.release(3, 9); });
+    fake.at(start + milliseconds(8 + seed % 3), [&fake] { fake.drop(2); });
+}
+
+void nothing(QueryFake &, unsigned) { }
+
+} // namespace
+
+TEST_CASE("Under all faults of replies each answer is whole, its own, of one version and in time",
+          "[request]")
+{
+    requireGood(runSeeds(faulty(), nothing));
+    auto farther = faulty();
+    farther.longestHop = milliseconds(8);
+    requireGood(runSeeds(farther, repartitionTwice));
+    auto coverageFirst = farther;
+    coverageFirst.coverageFirst = true;
+    requireGood(runSeeds(coverageFirst, repartitionTwice));
+}
+
+TEST_CASE("Each check of replies prevents what it is for", "[request]")
+{
+    constexpr unsigned few = 40;
+    auto noIdentity = faulty();
+    noIdentity.coordinator.service.checks.identity = false;
+    CHECK(runSeeds(noIdentity, nothing, few).foreignRecords > 0);
+    auto noVersion = faulty();
+    noVersion.coordinator.service.checks.version = false;
+    CHECK(runSeeds(noVersion, nothing, few).mixedVersions > 0);
+    auto noWholeBody = faulty();
+    noWholeBody.coordinator.service.checks.wholeBody = false;
+    CHECK(runSeeds(noWholeBody, nothing, few).cutBodies > 0);
+    auto noDeadline = faulty();
+    noDeadline.coordinator.service.checks.deadline = false;
+    CHECK(runSeeds(noDeadline, nothing, few).notAnsweredOnce > 0);
+}
+
+TEST_CASE("Hedges and retries stay within their budgets in every second", "[request]")
+{
+    auto heavy = faulty();
+    heavy.stragglers = 0.2;
+    heavy.failed = 0.2;
+    heavy.operatorSettings[operator_settings::hedgeQuantile] = "50";
+    requireGood(runSeeds(heavy, nothing, 60));
+    auto noHedgeBudget = heavy;
+    noHedgeBudget.coordinator.service.hedge.hedges.isEnforced = false;
+    CHECK(runSeeds(noHedgeBudget, nothing, 20).extrasAboveBudget > 0);
+    auto noRetryBudget = heavy;
+    noRetryBudget.coordinator.service.hedge.retries.isEnforced = false;
+    CHECK(runSeeds(noRetryBudget, nothing, 20).extrasAboveBudget > 0);
+}
+
+TEST_CASE("A version that goes away twice in a row costs no answer its whole coverage", "[request]")
+{
+    QueryFake::Settings settings;
+    settings.stragglers = 0;
+    settings.longestHop = milliseconds(8);
+    const auto found = runSeeds(settings, repartitionTwice);
+    requireGood(found);
+    CHECK(found.wholeAnswers == found.latencies.size());
+    settings.coordinator.service.restartsOnVersionGone = false;
+    const auto without = runSeeds(settings, repartitionTwice);
+    requireGood(without);
+    CHECK(without.wholeAnswers < without.latencies.size());
+}
+
+TEST_CASE("All replicas of a shard lost: the policy decides between less coverage and an error",
+          "[request]")
+{
+    const Script loseShard = [](QueryFake &fake, unsigned) {
+        fake.at(milliseconds(200), [&fake] {
+            fake.silence("s2-0", true);
+            fake.silence("s2-1", true);
+        });
+        fake.at(milliseconds(400), [&fake] {
+            fake.silence("s2-0", false);
+            fake.silence("s2-1", false);
+        });
+    };
+    QueryFake::Settings settings;
+    const auto timeFirst = runSeeds(settings, loseShard, 50);
+    requireGood(timeFirst);
+    CHECK(timeFirst.errors == 0);
+    CHECK(timeFirst.wholeAnswers < timeFirst.latencies.size());
+    settings.coverageFirst = true;
+    const auto coverageFirst = runSeeds(settings, loseShard, 50);
+    requireGood(coverageFirst);
+    CHECK(coverageFirst.errors > 0);
+    CHECK(coverageFirst.wholeAnswers + coverageFirst.errors == coverageFirst.latencies.size());
+}
+
+TEST_CASE("A failure domain taken out gets no new work", "[request]")
+{
+    const Script takeOut = [](QueryFake &fake, unsigned) {
+        fake.at(milliseconds(200), [&fake] { fake.takeOut("a"); });
+    };
+    QueryFake::Settings settings;
+    const auto found = runSeeds(settings, takeOut, 50);
+    requireGood(found);
+    CHECK(found.errors == 0);
+    settings.coordinator.chooser.avoidsLeaving = false;
+    CHECK(runSeeds(settings, takeOut, 5).newWorkAfterOut > 0);
+}
+
+TEST_CASE("A schedule that lands all at once under running queries is in force by its time",
+          "[request]")
+{
+    const Script land = [](QueryFake &fake, unsigned) {
+        fake.at(milliseconds(100), [&fake] {
+            fake.release(2, 5);
+            const WallTime now = fake.clock().wallNow();
+            using Kind = ScheduleEntry::Kind;
+            fake.schedule({{"r2", 1, Kind::VersionRelease, "2", now + milliseconds(150), {}, false},
+                           {"d", 1, Kind::FailureDomainOut, "b", now + milliseconds(50),
+                            now + milliseconds(200), false},
+                           {"s", 2, Kind::BackendServerInService, "s0-0", now - seconds(9),
+                            now - seconds(8), true},
+                           {"s", 1, Kind::BackendServerInService, "s0-0", now, {}, false}});
+        });
+        fake.at(milliseconds(250), [&fake] { fake.drop(1); });
+    };
+    QueryFake::Settings settings;
+    settings.stragglers = 0;
+    const auto found = runSeeds(settings, land, 50);
+    requireGood(found);
+    CHECK(found.wholeAnswers == found.latencies.size());
+}
+
+TEST_CASE("Hedging cuts the tail of stragglers to a third for at most 5 % extra load", "[request]")
+{
+    const auto percentile = [](std::vector<Duration> times, std::size_t percent) {
+        std::sort(times.begin(), times.end());
+        return static_cast<double>(times[times.size() * percent / 100].count());
+    };
+    QueryFake::Settings settings;
+    settings.shards = 20;
+    settings.queries = 1000;
+    settings.deadline = seconds(1);
+    settings.queryPeriod = milliseconds(5);
+    for (unsigned seed = 0; seed < 5; ++seed) {
+        CAPTURE(seed);
+        settings.seed = seed;
+        settings.coordinator.service.hedge.isHedging = false;
+        const auto without = QueryFake(settings).run();
+        settings.coordinator.service.hedge.isHedging = true;
+        const auto with = QueryFake(settings).run();
+        requireGood(with);
+        const double tail = percentile(with.latencies, 99) / percentile(without.latencies, 99);
+        const double median = percentile(with.latencies, 50) / percentile(without.latencies, 50);
+        const double extra = static_cast<double>(with.extras) / with.primaries;
+        CHECK(tail <= 1.0 / 3);
+        CHECK(median <= 1.05);
+        CHECK(extra <= 0.05);
+    }
+}
