--- a/src/Pimentoward/Request/Coordinator.cpp
+++ b/src/Pimentoward/Request/Coordinator.cpp
@@ -36,6 +36,15 @@
         SteadyTime timerAt {};
     };
 
+    /// What goes to one owner.
+    struct Outgoing
+    {
+        SubrequestBatch batch;
+        /// How many of its items are primaries.
+        unsigned primaries = 0;
+    };
+    using OutgoingByOwner = std::map<MemberId, Outgoing>;
+
     /// Totals since the start.
     struct Counters
     {
@@ -142,13 +151,15 @@
     /// Carries actions out; the query may be gone afterwards.
     void apply(const RequestId &id, RunningQuery &query, const ScatterGather::Actions &actions)
     {
-        std::map<MemberId, SubrequestBatch> batches;
+        OutgoingByOwner batches;
         std::map<MemberId, SubrequestCancel> cancels;
         const QueryAnswer *finished = nullptr;
         for (const ScatterGather::Action &action : actions) {
             if (const auto *send = std::get_if<ScatterGather::Send>(&action)) {
                 count(send->purpose);
-                batches[ownerOf(send->item.backendServer)].items.push_back(send->item);
+                Outgoing &outgoing = batches[ownerOf(send->item.backendServer)];
+                outgoing.batch.items.push_back(send->item);
+                outgoing.primaries += send->purpose == ReplicaChooser::Purpose::Primary ? 1 : 0;
             } else if (const auto *cancel = std::get_if<ScatterGather::Cancel>(&action)) {
                 cancels[ownerOf(cancel->item.backendServer)].numbers.push_back(cancel->item.number);
             } else if (const auto *finish = std::get_if<ScatterGather::Finish>(&action)) {
@@ -185,16 +196,17 @@
         hook(finished);
     }
 
-    void sendBatches(const RequestId &id, const RunningQuery &query,
-                     std::map<MemberId, SubrequestBatch> &batches)
+    void sendBatches(const RequestId &id, const RunningQuery &query, OutgoingByOwner &batches)
     {
         std::vector<Subreply> unsent;
-        for (auto &[owner, batch] : batches) {
+        for (auto &[owner, outgoing] : batches) {
+            SubrequestBatch &batch = outgoing.batch;
             fillBatch(id, query, batch);
             if (!hooks.sendBatch(owner, batch)) {
                 addUnsent(batch, unsent);
                 continue;
             }
+            query.service.onPrimariesSent(outgoing.primaries);
             for (const SubrequestItem &item : batch.items) {
                 chooser.onSent(item.backendServer);
             }
@@ -318,9 +330,9 @@
     m_state->updateView(std::move(view));
 }
 
-void Coordinator::query(const CallerRequest &request, AnswerHook answer)
+void Coordinator::query(const CallerRequest &request, const AnswerHook &answer)
 {
-    m_state->query(request, std::move(answer));
+    m_state->query(request, answer);
 }
 
 void Coordinator::onSubreply(Subreply reply)
--- a/src/Pimentoward/Request/Coordinator.h
+++ b/src/Pimentoward/Request/Coordinator.h
@@ -48,7 +48,7 @@
 
     void updateView(std::shared_ptr<const ControlView> view);
     /// Runs a query; the hook gets exactly one answer, possibly before this returns.
-    void query(const CallerRequest &request, AnswerHook answer);
+    void query(const CallerRequest &request, const AnswerHook &answer);
     /// Takes an owner's reply.
     void onSubreply(Subreply reply);
     /// Runs what is due: hedges, retries, answers at their deadlines.
--- a/src/Pimentoward/Request/CoordinatorService.cpp
+++ b/src/Pimentoward/Request/CoordinatorService.cpp
@@ -81,6 +81,13 @@
     return plan;
 }
 
+void CoordinatorService::onPrimariesSent(unsigned count)
+{
+    for (unsigned primary = 0; primary < count; ++primary) {
+        m_policy.addPrimary(m_clock.now());
+    }
+}
+
 void CoordinatorService::onSubreply(const Subreply &reply)
 {
     if (reply.code != ResultCode::VersionGone) {
--- a/src/Pimentoward/Request/CoordinatorService.h
+++ b/src/Pimentoward/Request/CoordinatorService.h
@@ -41,6 +41,8 @@
     /// The plan of a new query; fails with VersionGone where no version is released.
     std::optional<QueryPlan> plan(const RequestId &id, const CallerRequest &request,
                                   Reason &reason);
+    /// Counts primary subrequests that have left this VM; they earn for the budgets.
+    void onPrimariesSent(unsigned count);
     /// Learns from a reply to a subrequest of this service.
     void onSubreply(const Subreply &reply);
     const ScatterGather::Environment &environment() const { return m_environment; }
--- a/src/Pimentoward/Request/ReplicaChooser.h
+++ b/src/Pimentoward/Request/ReplicaChooser.h
@@ -46,7 +46,7 @@
     using StandingHook = std::function<Standing(const BackendServerId &)>;
 
     /// What a replica is chosen for.
-    enum class Purpose { Primary, Hedge, Retry };
+    enum class Purpose { Primary, Hedge, Retry, Restart };
 
     ReplicaChooser();
     explicit ReplicaChooser(const Settings &settings);
--- a/src/Pimentoward/Request/ScatterGather.cpp
+++ b/src/Pimentoward/Request/ScatterGather.cpp
@@ -33,10 +33,7 @@
 ScatterGather::Actions ScatterGather::start(SteadyTime now)
 {
     Actions actions;
-    for (std::size_t index = 0; index < m_shards.size(); ++index) {
-        m_environment.policy.addPrimary(now);
-    }
-    sendPrimaries(now, actions);
+    sendAll(Purpose::Primary, now, actions);
     return conclude(std::move(actions), now);
 }
 
@@ -91,13 +88,13 @@
     return conclude(std::move(actions), now);
 }
 
-void ScatterGather::sendPrimaries(SteadyTime now, Actions &actions)
+void ScatterGather::sendAll(Purpose purpose, SteadyTime now, Actions &actions)
 {
     for (std::size_t index = 0; index < m_shards.size(); ++index) {
         ShardState &state = m_shards[index];
         const Shard &shard = m_plan.shards[index];
-        if (const auto to = m_environment.choose(shard, {}, Purpose::Primary, now)) {
-            send(index, *to, Purpose::Primary, now, actions);
+        if (const auto to = m_environment.choose(shard, {}, purpose, now)) {
+            send(index, *to, purpose, now, actions);
         } else {
             state.lastFailure = {ResultCode::NotRunLeaving, "no replica may take new work"};
             retryLater(state, now);
@@ -223,7 +220,7 @@
     m_shards.resize(m_plan.shards.size());
     m_shardOfNumber.clear();
     m_firstNumber = m_nextNumber;
-    sendPrimaries(now, actions);
+    sendAll(Purpose::Restart, now, actions);
 }
 
 void ScatterGather::cancelAll(ShardState &state, SteadyTime now, Actions &actions)
--- a/src/Pimentoward/Request/ScatterGather.h
+++ b/src/Pimentoward/Request/ScatterGather.h
@@ -71,7 +71,8 @@
 
     ScatterGather(QueryPlan plan, const Environment &environment);
 
-    /// The primary subrequests; called once.
+    /// The primary subrequests; called once. The caller counts those that have left by
+    /// HedgePolicy::addPrimary().
     Actions start(SteadyTime now);
     /// Takes a reply. One that does not belong here, or comes twice, is discarded and counted.
     Actions onSubreply(Subreply reply, SteadyTime now);
@@ -114,7 +115,7 @@
         unsigned attempts = 0;
     };
 
-    void sendPrimaries(SteadyTime now, Actions &actions);
+    void sendAll(Purpose purpose, SteadyTime now, Actions &actions);
     void send(std::size_t index, const BackendServerId &to, Purpose purpose, SteadyTime now,
               Actions &actions);
     void hedge(std::size_t index, SteadyTime now, Actions &actions);
