Take a falling cost per member as no growth

Cause: the fitted processor slope is -1.4e-05 a member, noise, which made -0.07 cores at 6,000 VMs and called it within the limit. Change: capacity.py counts a negative slope as zero. Ruled out: a real fall: the four sizes differ by less than the spread of a shared machine.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -31,8 +31,9 @@
 
 
 def line(slope, members):
-    """Value of a fitted line at a number of members."""
-    return slope["fixed"] + slope["perMember"] * members
+    """Value of a fitted line at a number of members. A cost cannot fall as members are added: a
+    negative slope is noise of the measurement and counts as none."""
+    return slope["fixed"] + max(0, slope["perMember"]) * members
 
 
 def update():
