--- a/bench/failures.cpp
+++ b/bench/failures.cpp
@@ -36,7 +36,10 @@
         {"deployment", Kind::Text, "deployments/path-20.json", "Deployment file.", 0, 0, "", false},
         {"programs", Kind::Text, "build", "Folder of the built programs.", 0, 0, "", false},
         {"scenario", Kind::Choice, "all", "Scenario to run.", 0, 0,
-         "all,kill,freeze,store-silent,store-down,rolling", false},
+         "all,kill,freeze,store-silent,store-down,rolling,cut,cut-one-way", false},
+        {"peer-delay-ms", Kind::Integer, "3", "One-way delay between VMs.", 0, 1000, "", false},
+        {"peer-jitter-ms", Kind::Integer, "1", "Jitter between VMs.", 0, 1000, "", false},
+        {"peer-loss-percent", Kind::Real, "0", "Loss between VMs.", 0, 100, "", false},
         {"rate", Kind::Real, "40", "Searches a second.", 1, 10'000, "", false},
         {"deadline-ms", Kind::Milliseconds, "500", "Deadline of each search.", 1, 60'000, "",
          false},
@@ -90,6 +93,30 @@
     };
 }
 
+/// Cuts the links that others have to the last VM, for 5 s.
+std::function<Steps(event_base *, standins::DeploymentProcesses &)>
+cutSteps(const std::string &action)
+{
+    constexpr std::chrono::seconds cutFor {5};
+    return [=](event_base *loop, standins::DeploymentProcesses &deployment) -> Steps {
+        const std::string vm = deployment.deployment().vms.back().id;
+        Steps steps;
+        for (const char *link : {"-data", "-control"}) {
+            const std::string pair = vm + link;
+            const auto connection
+                = std::make_shared<HttpConnection>(loop, deployment.relayOrders());
+            const auto order = [connection, pair](const std::string &what) {
+                const Json body {{"action", what}, {"pair", pair}};
+                connection->send({"POST", "/control", {}, body.dump(), std::chrono::seconds(5)},
+                                 [](const std::optional<HttpAnswer> &, const Reason &) {});
+            };
+            steps.push_back({faultAt, [=] { order(action); }});
+            steps.push_back({faultAt + cutFor, [=] { order("heal"); }});
+        }
+        return steps;
+    };
+}
+
 Steps rollingSteps(event_base *, standins::DeploymentProcesses &deployment)
 {
     constexpr std::chrono::milliseconds pollPeriod {50};
@@ -117,7 +144,9 @@
             {"freeze", shortRun, freezeSteps},
             {"store-silent", longRun, storeSteps("silent")},
             {"store-down", longRun, storeSteps("down")},
-            {"rolling", rollingRun, rollingSteps}};
+            {"rolling", rollingRun, rollingSteps},
+            {"cut", shortRun, cutSteps("cut")},
+            {"cut-one-way", shortRun, cutSteps("cut-to-target")}};
 }
 
 /// Seconds from the fault to the intended time of the first search after the last one that was not
@@ -201,6 +230,9 @@
     processes.file = settings.text("deployment");
     processes.programs = settings.text("programs");
     processes.logFolder = "out/failures/" + scenario.name;
+    processes.relayFlags = {"--delay-ms",     settings.text("peer-delay-ms"),
+                            "--jitter-ms",    settings.text("peer-jitter-ms"),
+                            "--loss-percent", settings.text("peer-loss-percent")};
     {
         standins::DeploymentProcesses deployment(processes);
         deployment.start(loop);
--- a/standins/DeploymentProcesses.cpp
+++ b/standins/DeploymentProcesses.cpp
@@ -89,8 +89,9 @@
 
 void DeploymentProcesses::startStandins(event_base *loop)
 {
+    const std::string platformFile = m_settings.relayFlags.empty() ? m_settings.file : startRelay();
     m_processes.start("platform",
-                      {m_settings.programs + "/standin-platform", "--deployment", m_settings.file,
+                      {m_settings.programs + "/standin-platform", "--deployment", platformFile,
                        "--listen", m_platform.toString()});
     for (const DomainShape &domain : m_deployment.failureDomains) {
         std::vector<std::string> command {m_settings.programs + "/standin-backend", "--deployment",
@@ -110,6 +111,40 @@
     }
 }
 
+std::string DeploymentProcesses::startRelay()
+{
+    // The relay stands for VM 127.x.y.z at 127.x.(y+100).z.
+    constexpr int relayNet = 100;
+    std::ifstream input(m_settings.file);
+    nlohmann::json json = nlohmann::json::parse(input);
+    nlohmann::json pairs = nlohmann::json::array();
+    for (nlohmann::json &vm : json.at("vms")) {
+        const auto host = vm.at("host").get<std::string>();
+        const auto second = host.find('.', host.find('.') + 1) + 1;
+        const auto third = host.find('.', second);
+        const int net = std::stoi(host.substr(second, third - second)) + relayNet;
+        const std::string relayHost
+            = host.substr(0, second) + std::to_string(net) + host.substr(third);
+        const auto id = vm.at("id").get<std::string>();
+        for (const auto &[name, port] :
+             {std::pair("-data", dataPort), std::pair("-control", controlPort)}) {
+            pairs.push_back({{"name", id + name},
+                             {"listen", Address {relayHost, port}.toString()},
+                             {"target", Address {host, port}.toString()}});
+        }
+        vm["host"] = relayHost;
+    }
+    const std::string pairsFile = m_settings.logFolder + "/relay.json";
+    std::ofstream(pairsFile) << pairs.dump(2) << '\n';
+    std::string platformFile = m_settings.logFolder + "/platform.json";
+    std::ofstream(platformFile) << json.dump(2) << '\n';
+    std::vector<std::string> command {m_settings.programs + "/standin-relay", "--pairs", pairsFile,
+                                      "--control-listen", relayOrders().toString()};
+    append(command, m_settings.relayFlags);
+    m_processes.start("relay", command);
+    return platformFile;
+}
+
 void DeploymentProcesses::startVm(const VmRecord &vm)
 {
     std::vector<std::string> command {m_settings.programs + "/pimentod"};
--- a/standins/DeploymentProcesses.h
+++ b/standins/DeploymentProcesses.h
@@ -31,6 +31,9 @@
         std::vector<std::string> vmFlags;
         /// Further flags of the stand-in of one failure domain.
         std::map<FailureDomain, std::vector<std::string>> domainFlags;
+        /// Flags of a relay that stands before each VM's links from the other VMs, such as
+        /// {"--delay-ms", "3"}; empty: no relay. Its pairs are "VM-data" and "VM-control".
+        std::vector<std::string> relayFlags;
     };
 
     /// Reads the file; throws std::runtime_error where that fails. Starts nothing.
@@ -58,8 +61,13 @@
     /// One order to the stand-in platform, such as {"mode":"down"}; throws where it is refused.
     void orderPlatform(event_base *loop, const nlohmann::json &order) const;
     const Address &platform() const { return m_platform; }
+    /// Where the relay takes orders.
+    Address relayOrders() const { return {m_platform.host, 7100}; }
 
 private:
+    /// Starts the relay; returns the deployment file for the platform, whose VM list names the
+    /// relay's addresses in place of the VMs' own.
+    std::string startRelay();
     /// Throws where a process that was started has ended, such as for an address in use: what
     /// answers in its place would belong to somebody else.
     void requireAllRunning() const;
