--- a/apps/pimentod/main.cpp
+++ b/apps/pimentod/main.cpp
@@ -2,8 +2,11 @@
 #include "Pimentoward/Core/SystemClock.h"
 #include "Pimentoward/Process/ControlTask.h"
 #include "Pimentoward/Process/DaemonSettings.h"
+#include "Pimentoward/Process/Drain.h"
 #include "Pimentoward/Process/QueryTask.h"
 #include "Pimentoward/Process/SignalWatch.h"
+#include "Pimentoward/Process/Task.h"
+#include "Pimentoward/Process/Timer.h"
 
 #include <event2/event.h>
 #include <nlohmann/json.hpp>
@@ -50,37 +53,101 @@
     return result;
 }
 
-int run(const ResolvedSettings &settings)
+/// The process's main task: signals, the planned stop, and the two tasks that do the work.
+class Daemon
 {
-    const SystemClock clock;
-    QueryTask query(querySettings(settings), clock);
-    ControlTask control(
-        controlSettings(settings), clock, [&query](auto view) { query.postView(std::move(view)); },
-        [&query](ControlTask::DumpHook hook) { query.postDump(std::move(hook)); });
-    if (Reason reason; !query.listen(reason) || !control.listen(reason)) {
-        std::cerr << "pimentod: " << reason.text << '\n';
-        return static_cast<int>(ExitCode::CannotListen);
+public:
+    explicit Daemon(const ResolvedSettings &settings)
+        : m_query(querySettings(settings), m_clock)
+        , m_control(
+              controlSettings(settings), m_clock,
+              [this](auto view) { m_query.postView(std::move(view)); },
+              [this](ControlTask::DumpHook hook) { m_query.postDump(std::move(hook)); })
+        , m_drain(drainSettings(settings))
+        , m_drainTimer(m_main.loop(), [this] { onDrainTimer(); })
+        , m_signals(m_main.loop(), {SIGINT, SIGTERM, SIGUSR1},
+                    [this](int signal) { onSignal(signal); })
+    { }
+
+    bool listen(Reason &reason) { return m_query.listen(reason) && m_control.listen(reason); }
+
+    /// Serves until a planned stop has ended.
+    void serve()
+    {
+        m_query.start();
+        m_control.start();
+        event_base_loop(m_main.loop(), EVLOOP_NO_EXIT_ON_EMPTY);
+        m_control.stop();
+        m_query.stop();
     }
-    event_base *loop = event_base_new();
+
+private:
+    static Drain::Settings drainSettings(const ResolvedSettings &settings)
     {
-        const SignalWatch signals(loop, {SIGINT, SIGTERM, SIGUSR1}, [&](int signal) {
-            if (signal != SIGUSR1) {
-                event_base_loopbreak(loop);
-                return;
-            }
-            control.postDump([](const nlohmann::json &state) {
+        Drain::Settings result;
+        result.readinessDelay = settings.milliseconds("readiness-delay-ms");
+        result.limit = settings.milliseconds("drain-limit-ms");
+        return result;
+    }
+
+    void onSignal(int signal)
+    {
+        if (signal == SIGUSR1) {
+            m_control.postDump([](const nlohmann::json &state) {
                 LOG4CPLUS_INFO(Log::part("dump"), state.dump());
             });
+            return;
+        }
+        LOG4CPLUS_INFO(m_log, "Asked to stop by signal " << signal);
+        apply(m_drain.onStopSignal(m_clock.now()));
+        m_drainTimer.startRepeating(drainPeriod);
+    }
+
+    void onDrainTimer()
+    {
+        m_query.postRunning([this](std::size_t running) {
+            m_main.post([this, running] { m_drain.onRunning(running); });
         });
-        query.start();
-        control.start();
-        LOG4CPLUS_INFO(Log::part("process"), "Serving on " << settings.text("caller-listen"));
-        event_base_dispatch(loop);
-        control.stop();
-        query.stop();
+        apply(m_drain.tick(m_clock.now()));
+    }
+
+    void apply(const Drain::Actions &actions)
+    {
+        for (const Drain::Action &action : actions) {
+            if (std::holds_alternative<Drain::TurnReadinessOff>(action)) {
+                m_query.postNotReady();
+            } else if (std::holds_alternative<Drain::Leave>(action)) {
+                m_control.postLeave(
+                    [this] { m_main.post([this] { m_drain.onOwnershipReleased(); }); });
+            } else if (const auto *exit = std::get_if<Drain::Exit>(&action)) {
+                LOG4CPLUS_INFO(m_log, "Stopped; requests cut: " << exit->cut);
+                event_base_loopbreak(m_main.loop());
+            }
+        }
+    }
+
+    static constexpr std::chrono::milliseconds drainPeriod {20};
+
+    SystemClock m_clock;
+    /// Never started: its loop runs on the main thread, others post to it.
+    Task m_main {"main"};
+    QueryTask m_query;
+    ControlTask m_control;
+    Drain m_drain;
+    Timer m_drainTimer;
+    SignalWatch m_signals;
+    log4cplus::Logger m_log = Log::part("process");
+};
+
+int run(const ResolvedSettings &settings)
+{
+    Daemon daemon(settings);
+    if (Reason reason; !daemon.listen(reason)) {
+        std::cerr << "pimentod: " << reason.text << '\n';
+        return static_cast<int>(ExitCode::CannotListen);
     }
-    event_base_free(loop);
-    LOG4CPLUS_INFO(Log::part("process"), "Stopped");
+    LOG4CPLUS_INFO(Log::part("process"), "Serving on " << settings.text("caller-listen"));
+    daemon.serve();
     return static_cast<int>(ExitCode::Success);
 }
 
--- a/src/Pimentoward/Process/DaemonSettings.cpp
+++ b/src/Pimentoward/Process/DaemonSettings.cpp
@@ -20,6 +20,17 @@
     return std::nullopt;
 }
 
+/// A planned stop must last longer than the wait for the balancer at its beginning.
+std::optional<std::string> drainTooShort(const ResolvedSettings &settings)
+{
+    if (settings.integer("drain-limit-ms") > settings.integer("readiness-delay-ms")) {
+        return std::nullopt;
+    }
+    return "setting 'drain-limit-ms' has the value '" + settings.text("drain-limit-ms")
+        + "'; allowed: more than 'readiness-delay-ms', which is '"
+        + settings.text("readiness-delay-ms") + "'";
+}
+
 } // namespace
 
 const std::vector<SettingSpec> &daemonSettingsTable()
@@ -44,6 +55,11 @@
          60'000, "", false},
         {"longest-body", Kind::Integer, "1048576", "Longest body of a caller, in bytes.", 1024,
          67'108'864, "", false},
+        {"readiness-delay-ms", Kind::Milliseconds, "2000",
+         "Time between readiness off and refusing new requests at a planned stop.", 0, 60'000, "",
+         false},
+        {"drain-limit-ms", Kind::Milliseconds, "30000",
+         "Longest time that a planned stop waits for running requests.", 100, 600'000, "", false},
         {"log-level", Kind::Choice, "INFO", "Level of the log.", 0, 0,
          "TRACE,DEBUG,INFO,WARN,ERROR,OFF", false},
     };
@@ -55,6 +71,7 @@
     SettingsReader reader("pimentod", "The query tier's daemon, one on each entry VM",
                           daemonSettingsTable());
     reader.crossCheck(sameAddressTwice);
+    reader.crossCheck(drainTooShort);
     return reader;
 }
 
