--- a/standins/RelayConnection.cpp
+++ b/standins/RelayConnection.cpp
@@ -109,8 +109,9 @@
     }
     auto *connection = static_cast<RelayConnection *>(self);
     Way &way = connection->wayFrom(stream);
-    connection->readFrom(way);
+    // First, so that nothing more is read: an ended stream would report its end again and again.
     way.hasEnded = true;
+    connection->readFrom(way);
     // The loss of the connection travels like its bytes.
     way.queue.push({}, connection->m_clock.now());
     connection->schedule(way);
