Scenarios tell at which seconds of the load answers were not whole

Cause: rolling_replacement failed with a count alone, which does not say at which step. Change: finish() lists requests without a whole answer by second; the scripts print it. Cause is looked for next.

--- a/standins/ScenarioProcesses.cpp
+++ b/standins/ScenarioProcesses.cpp
@@ -37,6 +37,23 @@
     return result;
 }
 
+/// Requests without a whole answer, by the second of the load in which they were due.
+std::string notWholeBySecond(const std::vector<LoadSample> &samples)
+{
+    std::map<std::int64_t, unsigned> counts;
+    for (const LoadSample &sample : samples) {
+        if (!sample.outcome.isWhole()) {
+            ++counts[std::chrono::duration_cast<std::chrono::seconds>(sample.intended).count()];
+        }
+    }
+    std::string text;
+    for (const auto &[second, count] : counts) {
+        text
+            += (text.empty() ? "" : ", ") + std::to_string(second) + " s: " + std::to_string(count);
+    }
+    return text;
+}
+
 } // namespace
 
 struct ScenarioProcesses::State
@@ -268,6 +285,7 @@
     const CallerReport report(m_state->samples);
     Json result = report.toJson();
     result["errors"] = report.errors();
+    result["notWholeAt"] = notWholeBySecond(m_state->samples);
     result["verdict"] = runRecords();
     return result;
 }
--- a/tests/scenarios/domain_out.lua
+++ b/tests/scenarios/domain_out.lua
@@ -13,4 +13,4 @@
 expect(back.httpStatus == 200, "bringing back: " .. back.httpStatus .. " " .. tostring(back.reason))
 local report = finish()
 expect(report.errors == 0, "errors: " .. report.errors)
-expect(report.whole == report.count, "whole answers: " .. report.whole .. " of " .. report.count)
+expect(report.whole == report.count, "whole answers: " .. report.whole .. " of " .. report.count .. "; missed at " .. report.notWholeAt)
--- a/tests/scenarios/lost_vm.lua
+++ b/tests/scenarios/lost_vm.lua
@@ -4,5 +4,5 @@
 wait(7)
 load{rate = 40, seconds = 4}
 local report = finish()
-expect(report.whole == report.count, "whole answers: " .. report.whole .. " of " .. report.count)
+expect(report.whole == report.count, "whole answers: " .. report.whole .. " of " .. report.count .. "; missed at " .. report.notWholeAt)
 expect(report.verdict.aboveSlots == 0, "work above the slots: " .. report.verdict.aboveSlots)
--- a/tests/scenarios/rolling_replacement.lua
+++ b/tests/scenarios/rolling_replacement.lua
@@ -11,5 +11,5 @@
 end
 local report = finish()
 expect(report.errors == 0, "errors: " .. report.errors)
-expect(report.whole == report.count, "whole answers: " .. report.whole .. " of " .. report.count)
+expect(report.whole == report.count, "whole answers: " .. report.whole .. " of " .. report.count .. "; missed at " .. report.notWholeAt)
 expect(report.verdict.aboveSlots == 0, "work above the slots: " .. report.verdict.aboveSlots)
--- a/tests/scenarios/store_outage.lua
+++ b/tests/scenarios/store_outage.lua
@@ -10,7 +10,7 @@
 wait(8)
 store("up")
 local report = finish()
-expect(report.whole == report.count, "whole answers: " .. report.whole .. " of " .. report.count)
+expect(report.whole == report.count, "whole answers: " .. report.whole .. " of " .. report.count .. "; missed at " .. report.notWholeAt)
 local accepted = order("vm-2", body)
 for _ = 1, 20 do
     if accepted.code == 0 or accepted.code == 2 then break end
