Echo at once to a member that lacks the round trip

Cause: under heavy faults a VM had quorum contact 67 % of the time and a backend server an owner 45 %. After a fault the first echo waits for the next regular heartbeat, up to 500 ms, and contact comes before ownership.

Change: a heartbeat whose contact mask lacks the receiver is answered at once. In steady state nothing more is sent.

--- a/src/Pimentoward/Process/Membership.cpp
+++ b/src/Pimentoward/Process/Membership.cpp
@@ -107,6 +107,7 @@
     if (heartbeat.epoch < m_list.epoch()) {
         actions.push_back(SendMemberList {heartbeat.from, m_list.record()});
     }
+    answerMissingContact(heartbeat);
     noteReadiness(heartbeat);
     countEcho(heartbeat, echoSentAt, now);
     takeAsks(heartbeat, now);
@@ -117,6 +118,18 @@
     return actions;
 }
 
+void Membership::answerMissingContact(const Heartbeat &heartbeat)
+{
+    // The sender has had no round trip with this member of late: an echo at once restores it half a
+    // heartbeat period earlier.
+    const auto place = m_list.placeOf(m_self.id);
+    const bool isMissing = heartbeat.epoch == m_list.epoch() && place
+        && ((heartbeat.contactMask >> *place) & 1U) == 0;
+    if (isMissing) {
+        m_urgentPeers.insert(heartbeat.from);
+    }
+}
+
 void Membership::noteReadiness(const Heartbeat &heartbeat)
 {
     if (m_listIsNewest) {
--- a/src/Pimentoward/Process/Membership.h
+++ b/src/Pimentoward/Process/Membership.h
@@ -89,6 +89,7 @@
     const GrantTable &grants() const { return m_grants; }
 
 private:
+    void answerMissingContact(const Heartbeat &heartbeat);
     void noteReadiness(const Heartbeat &heartbeat);
     void countEcho(const Heartbeat &heartbeat, std::optional<SteadyTime> echoSentAt,
                    SteadyTime now);
--- a/tests/support/MembershipFake.cpp
+++ b/tests/support/MembershipFake.cpp
@@ -352,10 +352,14 @@
         for (const auto &[server, until] : vm.ownedUntil) {
             if (localTime(vm) < until) {
                 m_owned += 1;
+                m_lastOwned[server] = m_now;
                 checkDispatch(id, vm, server);
             }
         }
     }
+    for (const auto &[server, domain] : m_servers) {
+        m_longestGap = std::max(m_longestGap, m_now - m_lastOwned[server]);
+    }
     m_inContact += anyContact ? 1 : 0;
     m_steps += 1;
     m_checked += static_cast<double>(m_servers.size());
@@ -391,6 +395,7 @@
 {
     const auto runUntil = [this](Duration end, bool withFaults) {
         m_owned = m_checked = m_inContact = m_steps = 0;
+        m_longestGap = {};
         for (; m_now < end; m_now += stepTime) {
             if (withFaults) {
                 injectFaults();
@@ -414,6 +419,7 @@
         runUntil(m_now + m_settings.recovery, false);
     }
     m_result.availabilityAfter = runUntil(m_now + m_settings.quietTime, false);
+    m_result.longestGapAfter = m_longestGap;
     m_result.lastEpoch = m_stored.epoch;
     return m_result;
 }
--- a/tests/support/MembershipFake.h
+++ b/tests/support/MembershipFake.h
@@ -17,6 +17,8 @@
     /// Share of (backend server, step) with an owner, while faults happen and after their end.
     double availabilityUnderFaults = 0;
     double availabilityAfter = 0;
+    /// Longest time without an owner once the group has recovered; a handover takes some.
+    Duration longestGapAfter {};
     /// Share of steps under faults in which any VM had quorum contact: no owner can be without.
     double contactUnderFaults = 0;
     Epoch lastEpoch = 0;
@@ -131,6 +133,9 @@
     Duration m_nextFault {};
     std::uint64_t m_messages = 0;
     Incarnation m_lastIncarnation = 0;
+    /// When each backend server had an owner last.
+    std::map<BackendServerId, Duration> m_lastOwned;
+    Duration m_longestGap {};
     /// Counted by the checker since the last phase began.
     double m_owned = 0;
     double m_checked = 0;
