Move what the VM list asks of the member list into its own class

Change: MembershipVmList holds the VM list, counts absences and gives the wishes for the next change. A VM that the list has lost while it leaves is done leaving (postLeave() would have waited for asks that nobody hears).

--- a/src/Pimentoward/Process/ControlTask.cpp
+++ b/src/Pimentoward/Process/ControlTask.cpp
@@ -103,7 +103,8 @@
         const Membership::Actions actions = membership.tick(clock.now());
         afterEvent();
         send(actions);
-        if (onLeft && membership.isLeaving() && !membership.holdsAny()) {
+        const bool isOut = membership.isReady() && !membership.list().contains(settings.self.id);
+        if (onLeft && (isOut || !membership.holdsAny())) {
             std::exchange(onLeft, nullptr)();
         }
     }
--- a/src/Pimentoward/Process/Membership.cpp
+++ b/src/Pimentoward/Process/Membership.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-constexpr int absencesThatCount = 2;
-
 std::set<MemberId> idsOf(const MemberRecord &record)
 {
     std::set<MemberId> ids;
@@ -71,14 +69,8 @@
 
 void Membership::onVmList(const std::vector<VmRecord> &vms)
 {
-    m_vms.clear();
-    for (const VmRecord &vm : vms) {
-        m_vms[vm.id] = vm;
-    }
-    for (const auto &[id, member] : m_list.record().members) {
-        m_absences[id] = m_vms.count(id) > 0 ? 0 : m_absences[id] + 1;
-    }
-    if (const auto own = m_vms.find(m_self.id); own != m_vms.end() && own->second.leaving) {
+    m_vmList.update(vms, m_list);
+    if (m_vmList.isLeaving(m_self.id)) {
         leave();
     }
 }
@@ -234,7 +226,7 @@
             result.insert(id);
         }
     }
-    for (const auto &[id, vm] : m_vms) {
+    for (const auto &[id, vm] : m_vmList.vms()) {
         result.insert(id);
     }
     result.erase(m_self.id);
@@ -385,32 +377,6 @@
     return placeAmongAlive() < watchers;
 }
 
-MemberList::Wishes Membership::wishes(SteadyTime now) const
-{
-    MemberList::Wishes result;
-    for (const auto &[id, vm] : m_vms) {
-        const MembershipPeers::Peer *peer = m_peers.find(id);
-        const bool runs = peer != nullptr && m_peers.isHeard(id, now) && !peer->leaving;
-        if (runs && !vm.leaving && !m_list.contains(id)) {
-            result.joining[id] = {id, vm.host, vm.failureDomain};
-        }
-    }
-    for (const auto &[id, member] : m_list.record().members) {
-        const MembershipPeers::Peer *peer = m_peers.find(id);
-        const auto vm = m_vms.find(id);
-        const bool saysSo = peer != nullptr && peer->leaving;
-        const bool listSaysSo = vm != m_vms.end() && vm->second.leaving;
-        const auto absences = m_absences.find(id);
-        const bool isAbsent = absences != m_absences.end() && absences->second >= absencesThatCount;
-        // It is given the time to hand over.
-        const bool isDone = !m_peers.isHeard(id, now) || (saysSo && peer->asked.empty());
-        if (id != m_self.id && isDone && (saysSo || listSaysSo || isAbsent)) {
-            result.gone.insert(id);
-        }
-    }
-    return result;
-}
-
 std::optional<MemberRecord> Membership::proposedChange(SteadyTime now) const
 {
     if (!isReady() || m_leaving || now >= m_contact.contactUntil(now) || placeAmongAlive() != 0) {
@@ -419,7 +385,7 @@
     const Duration time = m_settings.spacesChanges ? m_settings.holdTime() : Duration {};
     const bool selfHolds = now >= m_listSince + time;
     const std::size_t holders = m_peers.holdersOf(m_list, time, now) + (selfHolds ? 1 : 0);
-    return m_list.nextChange(wishes(now), holders);
+    return m_list.nextChange(m_vmList.wishes(m_self.id, m_list, m_peers, now), holders);
 }
 
 } // namespace pimentoward
--- a/src/Pimentoward/Process/Membership.h
+++ b/src/Pimentoward/Process/Membership.h
@@ -5,6 +5,7 @@
 #include "Pimentoward/Process/HeartbeatLog.h"
 #include "Pimentoward/Process/MemberList.h"
 #include "Pimentoward/Process/MembershipPeers.h"
+#include "Pimentoward/Process/MembershipVmList.h"
 #include "Pimentoward/Process/OwnershipDecision.h"
 #include "Pimentoward/Process/QuorumContact.h"
 
@@ -82,7 +83,7 @@
     bool isLeaving() const { return m_leaving; }
 
     /// The platform's VM list as read last.
-    const std::map<MemberId, VmRecord> &vms() const { return m_vms; }
+    const std::map<MemberId, VmRecord> &vms() const { return m_vmList.vms(); }
     const MemberList &list() const { return m_list; }
     const MembershipPeers &peers() const { return m_peers; }
     const QuorumContact &contact() const { return m_contact; }
@@ -102,7 +103,6 @@
     void send(const MemberId &peer, SteadyTime now, Actions &actions);
     Actions sendDue(SteadyTime now);
     std::set<MemberId> receivers(SteadyTime now) const;
-    MemberList::Wishes wishes(SteadyTime now) const;
     std::size_t placeAmongAlive() const;
 
     MembershipSettings m_settings;
@@ -124,9 +124,7 @@
     /// Ready members that have echoed this run while it looked for the newest list.
     std::set<MemberId> m_heardReady;
     Epoch m_newestEpochHeard = 0;
-    std::map<MemberId, VmRecord> m_vms;
-    /// VM list readings in a row without the member.
-    std::map<MemberId, int> m_absences;
+    MembershipVmList m_vmList;
     SteadyTime m_nextHeartbeat {};
     SteadyTime m_lastSent {};
     bool m_urgentAll = false;
--- /dev/null
+++ b/src/Pimentoward/Process/MembershipVmList.cpp
@@ -0,0 +1,59 @@
+#include "Pimentoward/Process/MembershipVmList.h"
+
+namespace pimentoward {
+
+namespace {
+
+constexpr int absencesThatCount = 2;
+
+} // namespace
+
+void MembershipVmList::update(const std::vector<VmRecord> &vms, const MemberList &list)
+{
+    m_vms.clear();
+    for (const VmRecord &vm : vms) {
+        m_vms[vm.id] = vm;
+    }
+    for (const auto &[id, member] : list.record().members) {
+        m_absences[id] = m_vms.count(id) > 0 ? 0 : m_absences[id] + 1;
+    }
+}
+
+bool MembershipVmList::isLeaving(const MemberId &id) const
+{
+    const auto found = m_vms.find(id);
+    return found != m_vms.end() && found->second.leaving;
+}
+
+MemberList::Wishes MembershipVmList::wishes(const MemberId &self, const MemberList &list,
+                                            const MembershipPeers &peers, SteadyTime now) const
+{
+    MemberList::Wishes result;
+    for (const auto &[id, vm] : m_vms) {
+        const MembershipPeers::Peer *peer = peers.find(id);
+        const bool runs = peer != nullptr && peers.isHeard(id, now) && !peer->leaving;
+        if (runs && !vm.leaving && !list.contains(id)) {
+            result.joining[id] = {id, vm.host, vm.failureDomain};
+        }
+    }
+    for (const auto &[id, member] : list.record().members) {
+        if (id != self && isGone(id, peers, now)) {
+            result.gone.insert(id);
+        }
+    }
+    return result;
+}
+
+bool MembershipVmList::isGone(const MemberId &id, const MembershipPeers &peers,
+                              SteadyTime now) const
+{
+    const MembershipPeers::Peer *peer = peers.find(id);
+    const bool saysSo = peer != nullptr && peer->leaving;
+    const auto absences = m_absences.find(id);
+    const bool isAbsent = absences != m_absences.end() && absences->second >= absencesThatCount;
+    // It is given the time to hand over; silence alone removes nobody.
+    const bool isDone = !peers.isHeard(id, now) || (saysSo && peer->asked.empty());
+    return isDone && (saysSo || isLeaving(id) || isAbsent);
+}
+
+} // namespace pimentoward
