Keep the restart wait where the store has lost an older list

Cause: a run that saw the store without a member list skips its restart wait. Were the list lost while the group runs, a restarted member would do so too, then learn the running group's list, and grant what its earlier run had granted.

Change: the wait is back as soon as a list with an epoch above 1 is known; the second list of a new group comes a hold time after the first.

Ruled out: asking every member before skipping (needs a list to know them).

Before: granted at once in either case. After: MembershipRestartTest, both. All tests pass.

--- a/src/Pimentoward/Process/GrantTable.cpp
+++ b/src/Pimentoward/Process/GrantTable.cpp
@@ -8,12 +8,13 @@
 GrantTable::GrantTable(const MembershipSettings &settings, SteadyTime startedAt, RankHook rank)
     : m_settings(settings)
     , m_startedAt(startedAt)
+    , m_waits(settings.waitsAfterRestart)
     , m_rank(std::move(rank))
 { }
 
 bool GrantTable::mayGrant(SteadyTime now) const
 {
-    return !m_settings.waitsAfterRestart || now >= m_startedAt + m_settings.holdTime();
+    return !m_waits || now >= m_startedAt + m_settings.holdTime();
 }
 
 void GrantTable::give(Entry &entry, const Ask &ask, SteadyTime now)
--- a/src/Pimentoward/Process/GrantTable.h
+++ b/src/Pimentoward/Process/GrantTable.h
@@ -28,8 +28,9 @@
     /// `startedAt`: what was granted before is forgotten, so the table waits a hold time from here.
     GrantTable(const MembershipSettings &settings, SteadyTime startedAt, RankHook rank);
 
-    /// Ends the wait: no earlier run of this member can have granted anything.
-    void skipRestartWait() { m_startedAt = {}; }
+    /// Whether the table waits after its start; it need not where no earlier run of this member can
+    /// have granted anything.
+    void changeRestartWait(bool waits) { m_waits = waits; }
     /// Takes a heartbeat's asks (sorted): renews and gives grants, and takes back what the owner no
     /// longer asks for.
     void onAsks(const Ask &ask, const std::vector<BackendServerId> &asked, SteadyTime now);
@@ -68,6 +69,7 @@
 
     MembershipSettings m_settings;
     SteadyTime m_startedAt;
+    bool m_waits;
     RankHook m_rank;
     std::map<BackendServerId, Entry> m_entries;
     std::set<MemberId> m_newlyGranted;
--- a/src/Pimentoward/Process/Membership.cpp
+++ b/src/Pimentoward/Process/Membership.cpp
@@ -46,7 +46,7 @@
 void Membership::onListAbsent()
 {
     if (m_list.epoch() == 0) {
-        m_grants.skipRestartWait();
+        m_grants.changeRestartWait(false);
     }
 }
 
@@ -62,6 +62,12 @@
         return;
     }
     m_listSince = now;
+    // A group that has changed its list is no new one: the store had lost the list, and earlier
+    // runs may have granted.
+    constexpr Epoch firstEpoch = 1;
+    if (record.epoch > firstEpoch) {
+        m_grants.changeRestartWait(m_settings.waitsAfterRestart);
+    }
     m_contact.updateMembers(idsOf(m_list.record()));
     m_ownership.updateMembers(m_list.candidates());
     m_urgentAll = true;
--- a/tests/Process/MembershipRestartTest.cpp
+++ b/tests/Process/MembershipRestartTest.cpp
@@ -105,3 +105,21 @@
     REQUIRE(member.proposedChange(later));
     CHECK(member.proposedChange(later)->members.count("d") == 1);
 }
+
+TEST_CASE("A new group grants at once, one whose list the store has lost does not", "[membership]")
+{
+    const Epoch epoch = GENERATE(1, 2);
+    Membership member({}, {"a", "127.0.0.1", "domain"}, ownRun, start);
+    member.updateBackendServers({{"server", "domain"}});
+    member.onListAbsent();
+    MemberRecord alone;
+    alone.epoch = epoch;
+    alone.members["a"] = {"a", "127.0.0.1", "domain"};
+    member.onStoredList(alone, start);
+    member.tick(start);
+    member.tick(start);
+    CHECK(member.ownedUntil(start).size() == (epoch == 1 ? 1 : 0));
+    const SteadyTime later = start + MembershipSettings().holdTime();
+    member.tick(later);
+    CHECK(member.ownedUntil(later).size() == 1);
+}
