Publish only permissions that the ownership decision has noted

A member list of three after one of four lowered the quorum, so that grants already received became a permission between two decisions; it was published, ran out before the next decision, and the release did not wait for the work dispatched in it.

Change: the decision notes the end of each permission, and only what it has noted is published. A member's own grants are taken before and after it decides.

Ruled out: reading the lapsed end once more at the release: a further list change in between gives another end.

--- a/src/Pimentoward/Process/Membership.cpp
+++ b/src/Pimentoward/Process/Membership.cpp
@@ -187,6 +187,8 @@
     const bool hasContact = now < m_contact.contactUntil(now);
     m_peers.refresh(
         m_list, hasContact && !m_leaving ? std::optional(ownContactMask(now)) : std::nullopt, now);
+    // Before, so that its own grants count at once; after, so that it takes back what is released.
+    takeOwnAsks(now);
     decide(now);
     takeOwnAsks(now);
     m_grants.onTimer(now);
--- a/src/Pimentoward/Process/OwnershipDecision.cpp
+++ b/src/Pimentoward/Process/OwnershipDecision.cpp
@@ -63,6 +63,9 @@
 {
     bool changed = false;
     for (auto &[id, entry] : m_entries) {
+        if (!m_settings.needsAskingHeartbeat && !entry.asking) {
+            entry.permittedUntil = grantedUntil(entry);
+        }
         if (entry.asking) {
             changed |= decideAsking(id, entry, peers, now);
         } else if (decideIdle(entry, peers, now)) {
@@ -91,17 +94,20 @@
         const bool isDrained = now >= entry.drainedAt || peers.isQuiet(id);
         return isDrained && stopAsking(entry);
     }
-    if (const SteadyTime until = ownedUntil(entry); now < until) {
+    if (const SteadyTime until = grantedUntil(entry); now < until) {
         entry.askedSince = now;
+        entry.permittedUntil = until;
         entry.dispatchedUntil = until;
         if (wantsToHandOver(id, entry, peers)) {
             // Stops dispatching at once; its granters hear of it once its work has ended.
             entry.handingOver = true;
+            entry.permittedUntil = {};
             entry.drainedAt = now + m_settings.lastWorkTime();
         }
         return false;
     }
     // Its permission ran out, by time or by a new member list; a release waits for its last work.
+    entry.permittedUntil = {};
     entry.dispatchedUntil = std::min(entry.dispatchedUntil, now);
     if (now < entry.dispatchedUntil + m_settings.lastWorkTime() && !peers.isQuiet(id)) {
         return false;
@@ -144,11 +150,12 @@
 {
     entry.asking = false;
     entry.handingOver = false;
+    entry.permittedUntil = {};
     entry.granted.clear();
     return true;
 }
 
-SteadyTime OwnershipDecision::ownedUntil(const Entry &entry) const
+SteadyTime OwnershipDecision::grantedUntil(const Entry &entry) const
 {
     if (entry.handingOver || (!entry.asking && m_settings.needsAskingHeartbeat)) {
         return {};
@@ -181,14 +188,14 @@
 SteadyTime OwnershipDecision::ownedUntil(const BackendServerId &id) const
 {
     const auto found = m_entries.find(id);
-    return found == m_entries.end() ? SteadyTime {} : ownedUntil(found->second);
+    return found == m_entries.end() ? SteadyTime {} : found->second.permittedUntil;
 }
 
 std::map<BackendServerId, SteadyTime> OwnershipDecision::owned(SteadyTime now) const
 {
     std::map<BackendServerId, SteadyTime> result;
     for (const auto &[id, entry] : m_entries) {
-        if (const SteadyTime until = ownedUntil(entry); now < until) {
+        if (const SteadyTime until = entry.permittedUntil; now < until) {
             result[id] = until;
         }
     }
--- a/src/Pimentoward/Process/OwnershipDecision.h
+++ b/src/Pimentoward/Process/OwnershipDecision.h
@@ -71,6 +71,9 @@
         /// Stopped dispatching; asks on until its work there has ended.
         bool handingOver = false;
         SteadyTime drainedAt {};
+        /// End of the permission as decided last. Only this is ever published, so that no
+        /// permission comes and goes between two decisions without its last work being waited for.
+        SteadyTime permittedUntil {};
         /// Latest time at which this member may have dispatched.
         SteadyTime dispatchedUntil {};
         /// Sending time of the newest heartbeat that each member has granted.
@@ -78,7 +81,8 @@
     };
 
     void rankAll();
-    SteadyTime ownedUntil(const Entry &entry) const;
+    /// End of what the present grants permit.
+    SteadyTime grantedUntil(const Entry &entry) const;
     bool decideAsking(const BackendServerId &id, Entry &entry, const Peers &peers,
                       SteadyTime now) const;
     bool decideIdle(const Entry &entry, const Peers &peers, SteadyTime now) const;
