Refuse exceptions for unknown targets; count changes; show why stored settings cannot be used

Cause: a trial of pimentoctl against three pimentod showed that 'domain-out' of a mistyped failure domain is accepted to no effect, that reasons stand twice in the history and that watch prints 2.24e-07 s; a VM that cannot read the store's settings did not say why. Ruled out: checking targets in the document: an exception may outlive its service.

--- a/apps/pimentoctl/SettingsCommands.cpp
+++ b/apps/pimentoctl/SettingsCommands.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <charconv>
 #include <ctime>
+#include <iomanip>
 #include <iostream>
 #include <random>
 #include <sstream>
@@ -24,8 +25,13 @@
 std::string newChangeId()
 {
     std::random_device random;
+    constexpr int words = 4;
+    constexpr int digits = 8; // of one 32-bit word
     std::ostringstream text;
-    text << std::hex << random() << random() << random() << random();
+    text << std::hex << std::setfill('0');
+    for (int word = 0; word < words; ++word) {
+        text << std::setw(digits) << random();
+    }
     return text.str();
 }
 
@@ -155,7 +161,8 @@
     for (const Json &json : history->at("records")) {
         const auto record = SettingsChangeRecord::fromJson(json);
         std::string what;
-        for (const SettingsDifference &difference : record.differences) {
+        for (SettingsDifference difference : record.differences) {
+            difference.reason.clear(); // it stands in its own column
             what += (what.empty() ? "" : "; ") + difference.toText();
         }
         table.push_back({std::to_string(record.revision), timeText(json.at("atMs")), record.author,
@@ -242,8 +249,9 @@
                 vm.isDone = true;
                 const std::chrono::duration<double> passed
                     = std::chrono::steady_clock::now() - begin;
-                std::cout << vm.address.toString() << ' ' << vm.id << " at revision "
-                          << *vm.revision << " after " << passed.count() << " s" << std::endl;
+                std::cout << std::fixed << std::setprecision(1) << vm.address.toString() << ' '
+                          << vm.id << " at revision " << *vm.revision << " after " << passed.count()
+                          << " s" << std::endl;
             }
             allDone = allDone && vm.isDone;
         }
--- a/src/Pimentoward/Process/OperatorApi.cpp
+++ b/src/Pimentoward/Process/OperatorApi.cpp
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <charconv>
 
 namespace pimentoward {
@@ -85,12 +86,64 @@
 
 } // namespace
 
-OperatorApi::OperatorApi(HttpServer &http, SettingsKeeperDriver &settings, Hooks hooks)
+OperatorApi::OperatorApi(HttpServer &http, SettingsKeeperDriver &settings, const Clock &clock,
+                         Metrics &metrics, Hooks hooks)
     : m_settings(settings)
+    , m_clock(clock)
+    , m_metrics(metrics)
     , m_hooks(std::move(hooks))
 {
     addSettingsRoutes(http);
     addProcessRoutes(http);
+    addMetrics();
+}
+
+void OperatorApi::addMetrics()
+{
+    m_metrics.gauge("pimentoward_settings_revision", "Revision of the settings in force.",
+                    [this] { return static_cast<double>(m_settings.document()->revision); });
+    m_metrics.gauge("pimentoward_settings_ready",
+                    "1 where this VM holds the newest settings that it must hold to serve.",
+                    [this] { return m_settings.mayServe() ? 1.0 : 0.0; });
+    m_metrics.gauge("pimentoward_settings_watcher", "1 where this VM watches the store.",
+                    [this] { return m_settings.isWatcher() ? 1.0 : 0.0; });
+    m_metrics.gauge("pimentoward_settings_history_waiting",
+                    "Changes not yet known to be in the stored history.",
+                    [this] { return static_cast<double>(m_settings.waitingRecords()); });
+}
+
+void OperatorApi::count(const Reason &outcome, SteadyTime begunAt)
+{
+    const Metrics::Labels labels {{"result", std::string(resultCodeInfo(outcome.code).name)}};
+    m_metrics
+        .counter("pimentoward_settings_changes_total", "Changes that ended, by result.", labels)
+        .add();
+    m_metrics
+        .distribution("pimentoward_settings_change_seconds",
+                      "Time from an operator's change to its answer.")
+        .record(m_clock.now() - begunAt);
+}
+
+/// A mistyped failure domain would be taken out to no effect.
+bool OperatorApi::checkTarget(const SettingsChange &change, Reason &reason) const
+{
+    const bool addsException = change.kind == SettingsChangeKind::AddException;
+    if (!addsException && change.kind != SettingsChangeKind::TakeDomainOut) {
+        return true;
+    }
+    const ExceptionScope scope = addsException ? change.scope : ExceptionScope::OneFailureDomain;
+    const std::vector<std::string> known = m_hooks.knownTargets(scope);
+    if (known.empty() || std::find(known.begin(), known.end(), change.target) != known.end()) {
+        return true;
+    }
+    std::string names;
+    for (const std::string &name : known) {
+        names += (names.empty() ? "" : ", ") + name;
+    }
+    reason = {ResultCode::InvalidSetting,
+              "there is no " + std::string(exceptionScopeName(scope)) + " '" + change.target
+                  + "'; known: " + names};
+    return false;
 }
 
 void OperatorApi::addSettingsRoutes(HttpServer &http)
@@ -99,6 +152,7 @@
         const SettingsDocument &document = *m_settings.document();
         respond(jsonAnswer({{"revision", document.revision},
                             {"ready", m_settings.isReady()},
+                            {"problem", m_settings.problem().text},
                             {"document", Json::parse(document.toJson())},
                             {"effective", effectiveTable(document)}}));
     });
@@ -147,11 +201,13 @@
 {
     Reason reason;
     const auto change = SettingsChange::parse(request.body, reason);
-    if (!change) {
+    if (!change || !checkTarget(*change, reason)) {
         respond(HttpServer::errorAnswer(reason));
         return;
     }
-    m_settings.change(*change, [respond](const Reason &outcome, Revision revision) {
+    const SteadyTime begunAt = m_clock.now();
+    m_settings.change(*change, [this, respond, begunAt](const Reason &outcome, Revision revision) {
+        count(outcome, begunAt);
         respond(jsonAnswer(changeBody(outcome, revision), resultCodeInfo(outcome.code).httpStatus));
     });
 }
--- a/src/Pimentoward/Process/OperatorApi.h
+++ b/src/Pimentoward/Process/OperatorApi.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "Pimentoward/Connection/HttpServer.h"
+#include "Pimentoward/Process/Metrics.h"
 #include "Pimentoward/Process/SettingsKeeperDriver.h"
 
 #include <functional>
 #include <string>
+#include <vector>
 
 namespace pimentoward {
 
@@ -22,19 +24,29 @@
         std::function<void(TextHook)> metrics;
         /// True where the VM takes new work.
         std::function<bool()> isReady;
+        /// Names of the services or failure domains that are known; an exception for another one is
+        /// refused. An empty list refuses none.
+        std::function<std::vector<std::string>(ExceptionScope)> knownTargets;
     };
 
-    /// Adds its routes to `http`. All arguments must outlive the server's last request.
-    OperatorApi(HttpServer &http, SettingsKeeperDriver &settings, Hooks hooks);
+    /// Adds its routes to `http` and its metrics to `metrics`, which belong to the same task. All
+    /// arguments must outlive the server's last request.
+    OperatorApi(HttpServer &http, SettingsKeeperDriver &settings, const Clock &clock,
+                Metrics &metrics, Hooks hooks);
 
 private:
     void addSettingsRoutes(HttpServer &http);
     void addProcessRoutes(HttpServer &http);
+    void addMetrics();
+    bool checkTarget(const SettingsChange &change, Reason &reason) const;
+    void count(const Reason &outcome, SteadyTime begunAt);
     void change(const HttpRequest &request, const HttpServer::Responder &respond);
     void history(const HttpRequest &request, const HttpServer::Responder &respond);
     void difference(const HttpRequest &request, const HttpServer::Responder &respond);
 
     SettingsKeeperDriver &m_settings;
+    const Clock &m_clock;
+    Metrics &m_metrics;
     Hooks m_hooks;
 };
 
--- a/src/Pimentoward/Process/SettingsKeeper.cpp
+++ b/src/Pimentoward/Process/SettingsKeeper.cpp
@@ -10,12 +10,11 @@
 
 constexpr const char *watcherKey = "settings";
 
-std::shared_ptr<const SettingsDocument> parseStored(const StoredValue &stored)
+std::shared_ptr<const SettingsDocument> parseStored(const StoredValue &stored, Reason &reason)
 {
     if (stored.revision == 0) {
         return std::make_shared<const SettingsDocument>();
     }
-    Reason reason;
     auto document = SettingsDocument::parse(stored.value, reason);
     return document ? std::make_shared<const SettingsDocument>(std::move(*document)) : nullptr;
 }
@@ -230,7 +229,8 @@
 
 void SettingsKeeper::takeStored(const StoredValue &stored, bool fromWatch, SettingsActions &actions)
 {
-    const auto document = parseStored(stored);
+    m_problem = {};
+    const auto document = parseStored(stored, m_problem);
     if (document == nullptr) {
         // Settings that this VM cannot read are never taken for "none".
         return;
--- a/src/Pimentoward/Process/SettingsKeeper.h
+++ b/src/Pimentoward/Process/SettingsKeeper.h
@@ -49,6 +49,8 @@
     /// The document in force. Never null.
     const std::shared_ptr<const SettingsDocument> &document() const { return m_document; }
     Revision revision() const { return m_document->revision; }
+    /// Why the store's settings cannot be used; code Ok where they can, or were not read.
+    const Reason &problem() const { return m_problem; }
     /// True once this run has caught up. Before, the VM neither serves nor echoes heartbeats.
     bool isReady() const { return m_ready; }
     /// True where this VM may take on new work, as far as settings go.
@@ -118,6 +120,7 @@
     std::shared_ptr<const SettingsDocument> m_document;
     /// The settings key's revision that was seen last.
     Revision m_keyRevision = 0;
+    Reason m_problem;
     std::vector<MemberId> m_members;
     std::map<MemberId, Peer> m_peers;
     bool m_ready = false;
--- a/src/Pimentoward/Process/SettingsKeeperDriver.cpp
+++ b/src/Pimentoward/Process/SettingsKeeperDriver.cpp
@@ -156,6 +156,11 @@
     return m_state->keeper.document();
 }
 
+const Reason &SettingsKeeperDriver::problem() const
+{
+    return m_state->keeper.problem();
+}
+
 bool SettingsKeeperDriver::isReady() const
 {
     return m_state->keeper.isReady();
--- a/src/Pimentoward/Process/SettingsKeeperDriver.h
+++ b/src/Pimentoward/Process/SettingsKeeperDriver.h
@@ -53,6 +53,8 @@
 
     /// The document in force; never null.
     const std::shared_ptr<const SettingsDocument> &document() const;
+    /// Why the store's settings cannot be used; code Ok where they can, or were not read.
+    const Reason &problem() const;
     /// True once this run holds the newest settings; before, no heartbeat may be echoed.
     bool isReady() const;
     /// True where this VM may take on new work, as far as settings go.
--- a/src/Pimentoward/Process/SettingsPages.cpp
+++ b/src/Pimentoward/Process/SettingsPages.cpp
@@ -42,7 +42,9 @@
         + std::to_string(SettingsDocument::longestReason) + "\nbytes. There may be "
         + std::to_string(SettingsDocument::mostExceptions)
         + " exceptions at most. An exception goes before a default; one for a failure\ndomain goes "
-          "before one for a service.\n\n";
+          "before one for a service.\n\n"
+          "A VM cannot use settings that its version does not know and stops serving: set a "
+          "setting that is new in a\nversion once all VMs run it.\n\n";
 }
 
 } // namespace
--- a/tests/Process/OperatorApiTest.cpp
+++ b/tests/Process/OperatorApiTest.cpp
@@ -46,9 +46,13 @@
 {
     OperatorBench()
         : http(holder.loop, {})
-        , api(http, driver,
+        , api(http, driver, clock, metrics,
               {[this](const auto &done) { done(metrics.render()); },
-               [this] { return driver.isReady(); }})
+               [this] { return driver.isReady(); },
+               [](ExceptionScope scope) {
+                   return scope == ExceptionScope::OneService ? std::vector<std::string>()
+                                                              : std::vector<std::string> {"a", "b"};
+               }})
         , client(holder.loop, {ownHost(), 2})
     {
         Reason reason;
@@ -56,7 +60,6 @@
         REQUIRE(http.listen({ownHost(), 2}, reason));
         driver.updateMembers({"vm-1"});
         ticks.startRepeating(std::chrono::milliseconds(20));
-        metrics.counter("pimentoward_changes_total", "Changes.").add(3);
         while (!driver.isReady()) {
             event_base_loop(holder.loop, EVLOOP_ONCE);
         }
@@ -158,7 +161,17 @@
     CHECK(bench.code("PUT", "/log-level", "LOUD") == ResultCode::InvalidSetting);
     CHECK(bench.call("GET", "/health/ready").status == 200);
     CHECK(bench.call("GET", "/health/live").status == 200);
-    CHECK(bench.call("GET", "/metrics").body.find("pimentoward_changes_total 3\n")
+    SettingsChange out;
+    out.kind = SettingsChangeKind::TakeDomainOut;
+    out.changeId = "out";
+    out.reason = "trial";
+    out.target = "bb";
+    CHECK(bench.code("POST", "/settings", out.toJson()) == ResultCode::InvalidSetting);
+    out.target = "b";
+    CHECK(bench.code("POST", "/settings", out.toJson()) == ResultCode::Ok);
+    const std::string metrics = bench.call("GET", "/metrics").body;
+    CHECK(metrics.find("pimentoward_settings_revision 1\n") != std::string::npos);
+    CHECK(metrics.find("pimentoward_settings_changes_total{result=\"ok\"} 1\n")
           != std::string::npos);
 }
 
--- a/tests/Process/SettingsWorld.cpp
+++ b/tests/Process/SettingsWorld.cpp
@@ -364,6 +364,11 @@
             violate(operation.id + " and " + winners[operation.expected] + " both won the race");
         }
     }
+    const auto watchers = std::count_if(m_vms.begin(), m_vms.end(),
+                                        [](const Vm &vm) { return vm.driver->isWatcher(); });
+    if (watchers != static_cast<std::ptrdiff_t>(m_settings.watchers)) {
+        violate(std::to_string(watchers) + " VMs watch the store");
+    }
     const Revision last = m_vms[0].driver->document()->revision;
     for (const Vm &vm : m_vms) {
         if (!serves(vm) || vm.driver->document()->revision != last
