Tell until when settings permit to serve, so that a published view ages with them

Cause: the control task publishes immutable views with end times; a yes or no would outlive a freeze. Change: serveUntil() beside mayServe(). Ruled out: asking at each dispatch: the query task is another thread.

--- a/src/Pimentoward/Process/SettingsKeeper.cpp
+++ b/src/Pimentoward/Process/SettingsKeeper.cpp
@@ -170,12 +170,15 @@
     return actions;
 }
 
-bool SettingsKeeper::mayServe(SteadyTime now) const
+SteadyTime SettingsKeeper::serveUntil(SteadyTime now) const
 {
+    if (!m_ready) {
+        return SteadyTime::min();
+    }
     if (!m_settings.stopsWhereBehind) {
-        return m_ready;
+        return SteadyTime::max();
     }
-    return m_ready && now < confirmedAt(now) + m_settings.contactTime + m_settings.catchUpTime;
+    return confirmedAt(now) + m_settings.contactTime + m_settings.catchUpTime;
 }
 
 SteadyTime SettingsKeeper::confirmedAt(SteadyTime now) const
--- a/src/Pimentoward/Process/SettingsKeeper.h
+++ b/src/Pimentoward/Process/SettingsKeeper.h
@@ -54,7 +54,10 @@
     /// True once this run has caught up. Before, the VM neither serves nor echoes heartbeats.
     bool isReady() const { return m_ready; }
     /// True where this VM may take on new work, as far as settings go.
-    bool mayServe(SteadyTime now) const;
+    bool mayServe(SteadyTime now) const { return now < serveUntil(now); }
+    /// End of the time for which mayServe() is true as things stand; in the past where it is not.
+    /// A process that was frozen must not serve past the time that it was told before.
+    SteadyTime serveUntil(SteadyTime now) const;
     /// True where this VM is one of those that watch the store.
     bool isWatcher(SteadyTime now) const;
 
--- a/src/Pimentoward/Process/SettingsKeeperDriver.cpp
+++ b/src/Pimentoward/Process/SettingsKeeperDriver.cpp
@@ -171,6 +171,11 @@
     return m_state->keeper.mayServe(m_state->clock.now());
 }
 
+SteadyTime SettingsKeeperDriver::serveUntil() const
+{
+    return m_state->keeper.serveUntil(m_state->clock.now());
+}
+
 bool SettingsKeeperDriver::isWatcher() const
 {
     return m_state->keeper.isWatcher(m_state->clock.now());
--- a/src/Pimentoward/Process/SettingsKeeperDriver.h
+++ b/src/Pimentoward/Process/SettingsKeeperDriver.h
@@ -59,6 +59,8 @@
     bool isReady() const;
     /// True where this VM may take on new work, as far as settings go.
     bool mayServe() const;
+    /// End of the time for which mayServe() is true as things stand.
+    SteadyTime serveUntil() const;
     /// True where this VM watches the store at present.
     bool isWatcher() const;
     /// Changes in the history that are not yet known to be in the store.
