Test that a store which lost or garbled the settings never takes them back

Cause: argued only so far: revisions rise also where the platform's store is set back. Change: a test over HTTP: an older and an unreadable value are put into the store. Ruled out: writing over a value that cannot be read: it may be of a newer version.

--- a/tests/Process/OperatorApiTest.cpp
+++ b/tests/Process/OperatorApiTest.cpp
@@ -186,3 +186,21 @@
     bench.platform.changeMode(PlatformMode::Up, {});
     CHECK(bench.code("POST", "/settings", changeText(0, "c", "7")) == ResultCode::Ok);
 }
+
+TEST_CASE("A store that lost or garbled the settings never takes them back", "[settings]")
+{
+    OperatorBench bench;
+    CHECK(bench.code("POST", "/settings", changeText(0, "a", "7")) == ResultCode::Ok);
+    const std::string older = bench.platform.store().read("settings").value;
+    CHECK(bench.code("POST", "/settings", changeText(1, "b", "8")) == ResultCode::Ok);
+    bench.platform.store().put("settings", older);
+    // The next change builds on what is in force, and so gives it back to the store.
+    CHECK(bench.code("POST", "/settings", changeText(1, "c", "9")) == ResultCode::RevisionConflict);
+    CHECK(bench.code("POST", "/settings", changeText(2, "d", "10")) == ResultCode::Ok);
+    CHECK(Json::parse(bench.platform.store().read("settings").value).at("revision") == 3);
+    bench.platform.store().put("settings", "garbage");
+    CHECK(bench.code("POST", "/settings", changeText(3, "e", "11")) == ResultCode::InvalidSetting);
+    const Json shown = Json::parse(bench.call("GET", "/settings").body);
+    CHECK(shown.at("revision") == 3);
+    CHECK_FALSE(shown.at("problem").get<std::string>().empty());
+}
