Accept a change at once only where no unknown member may serve

Cause: the world now removes and adds a member, each VM learning of it within 2 s. Change: the short cut 'all hold it' counts only once the member list has stood for 10 s in this run and everyone heard in that time, member or not, holds the revision; else the 3.1 s rule applies. The world's faults moved into a file of their own. Ruled out: waiting 3.1 s for every change: 0.3 s is usual in a settled group. Not covered: a VM that is added and cut off from the one that accepts, within the list's delay.

--- a/src/Pimentoward/Process/SettingsKeeper.cpp
+++ b/src/Pimentoward/Process/SettingsKeeper.cpp
@@ -29,7 +29,10 @@
 
 SettingsActions SettingsKeeper::updateMembers(std::vector<MemberId> members, SteadyTime now)
 {
-    m_members = std::move(members);
+    if (members != m_members) {
+        m_members = std::move(members);
+        m_membersSince = now;
+    }
     return tick(now);
 }
 
--- a/src/Pimentoward/Process/SettingsKeeper.h
+++ b/src/Pimentoward/Process/SettingsKeeper.h
@@ -115,6 +115,7 @@
     void write(PendingChange &pending, SettingsActions &actions);
     void committed(PendingChange &pending, Revision revision);
     bool isAccepted(PendingChange &pending, SteadyTime now) const;
+    bool allHold(Revision revision, SteadyTime now) const;
     Reason lateOutcome(const PendingChange &pending) const;
     void answer(const Reason &outcome, SteadyTime now, SettingsActions &actions);
     PendingChange *running();
@@ -125,6 +126,8 @@
     Revision m_keyRevision = 0;
     Reason m_problem;
     std::vector<MemberId> m_members;
+    /// Since when this run has known this member list.
+    SteadyTime m_membersSince {};
     std::map<MemberId, Peer> m_peers;
     bool m_ready = false;
     Revision m_highestHeard = 0;
--- a/src/Pimentoward/Process/SettingsKeeperChanges.cpp
+++ b/src/Pimentoward/Process/SettingsKeeperChanges.cpp
@@ -154,7 +154,23 @@
     }
     const Duration untilStopped
         = m_settings.contactTime + m_settings.catchUpTime + m_settings.clockMargin;
-    return holders == m_members.size() || now - *pending.heldByMostSince > untilStopped;
+    const bool allKnownHold = holders == m_members.size() && allHold(pending.committed, now);
+    return allKnownHold || now - *pending.heldByMostSince > untilStopped;
+}
+
+/// True where nobody can serve without the revision: the member list has stood long enough, and
+/// everyone heard of late holds it, member or not.
+bool SettingsKeeper::allHold(Revision revision, SteadyTime now) const
+{
+    if (!m_settings.waitsForUnknownMembers) {
+        return true;
+    }
+    const SteadyTime settled = now - m_settings.listSettleTime;
+    return m_membersSince <= settled
+        && std::all_of(m_peers.begin(), m_peers.end(), [&](const auto &entry) {
+               const Peer &peer = entry.second;
+               return peer.heardAt < settled || (peer.ready && peer.revision >= revision);
+           });
 }
 
 Reason SettingsKeeper::lateOutcome(const PendingChange &pending) const
--- a/src/Pimentoward/Process/SettingsKeeperSettings.h
+++ b/src/Pimentoward/Process/SettingsKeeperSettings.h
@@ -14,6 +14,9 @@
     Duration catchUpTime = std::chrono::seconds(1);
     /// Allowance for clocks of different rates, added to the two times above.
     Duration clockMargin = std::chrono::milliseconds(100);
+    /// After a start or a change of the member list, members that this VM does not know (any more)
+    /// may serve for this time; a change is then not accepted before those must have stopped.
+    Duration listSettleTime = std::chrono::seconds(10);
     /// Pause before a store call that failed is made again.
     Duration storeRetry = std::chrono::milliseconds(200);
     /// Pause before a member is asked for its document again.
@@ -31,6 +34,8 @@
     bool readsBackUnsureWrites = true;
     /// Off: a change is answered as soon as it is committed.
     bool waitsForMembers = true;
+    /// Off: a change is accepted at once where all known members hold it.
+    bool waitsForUnknownMembers = true;
     /// Off: a starting VM serves with what it has.
     bool catchesUpAtStart = true;
     /// Off: any document that comes in is taken.
--- a/tests/Process/OperatorApiTest.cpp
+++ b/tests/Process/OperatorApiTest.cpp
@@ -31,6 +31,7 @@
 {
     SettingsKeeperSettings settings;
     settings.self = "vm-1";
+    settings.listSettleTime = {}; // one VM, and no others before
     settings.changeTimeLimit = std::chrono::milliseconds(500);
     return settings;
 }
--- /dev/null
+++ b/tests/Process/SettingsWorldFaults.cpp
@@ -0,0 +1,154 @@
+// The part of SettingsWorld that makes faults and heals them.
+
+#include "tests/Process/SettingsWorld.h"
+
+#include <array>
+
+namespace pimentoward::tests {
+
+void SettingsWorld::fault()
+{
+    if (m_quiet) {
+        return;
+    }
+    m_queue.after(milliseconds(200, 3000), [this] { fault(); });
+    const std::size_t a = m_random() % members;
+    const std::size_t b = (a + 1 + m_random() % (members - 1)) % members;
+    const Duration length = milliseconds(500, 6000);
+    switch (m_random() % 10) {
+    case 0:
+    case 1: {
+        constexpr std::array faults {
+            StoreFault::Down,   StoreFault::LoseAnswers,      StoreFault::Slow,
+            StoreFault::Silent, StoreFault::LoseWriteAnswers, StoreFault::LoseWriteAnswers};
+        storeFault(faults[m_random() % faults.size()], length);
+        break;
+    }
+    case 2:
+        m_vms[a].store->cut(true);
+        m_queue.after(length, [this, a] { m_vms[a].store->cut(false); });
+        break;
+    case 3:
+        // Heartbeats still tell of newer revisions, but none can be fetched.
+        m_vms[a].losesDocuments = true;
+        m_vms[a].store->cut(true);
+        m_queue.after(2 * length, [this, a] {
+            m_vms[a].losesDocuments = false;
+            m_vms[a].store->cut(false);
+        });
+        break;
+    case 4:
+        freeze(a, length);
+        break;
+    case 5:
+        startVm(a);
+        break;
+    case 6:
+        // More than half at once, as where a switch or a rack is lost.
+        for (std::size_t other = 0; other <= members / 2; ++other) {
+            startVm((a + other) % members);
+        }
+        break;
+    case 7:
+        changeMembers(false);
+        break;
+    default:
+        pairFault(a, b, length);
+    }
+}
+
+/// Lost answers of writes are followed by an outage, in which nothing can be read back.
+void SettingsWorld::storeFault(StoreFault fault, Duration length)
+{
+    m_store.change(fault);
+    m_queue.after(length, [this, fault] {
+        m_store.change(StoreFault::None);
+        if (fault == StoreFault::LoseWriteAnswers && !m_quiet) {
+            storeFault(StoreFault::Down, milliseconds(4000, 14'000));
+        }
+    });
+}
+
+void SettingsWorld::pairFault(std::size_t a, std::size_t b, Duration length)
+{
+    std::vector<std::pair<std::size_t, std::size_t>> cuts {{a, b}};
+    if (m_random() % 2 == 0) {
+        // One VM cut off from all, in both directions or in one.
+        const bool bothWays = m_random() % 2 == 0;
+        for (std::size_t other = 0; other < members; ++other) {
+            cuts.emplace_back(a, other);
+            if (bothWays) {
+                cuts.emplace_back(other, a);
+            }
+        }
+    }
+    m_cuts.insert(cuts.begin(), cuts.end());
+    m_queue.after(length, [this, cuts] {
+        for (const auto &cut : cuts) {
+            m_cuts.erase(cut);
+        }
+    });
+}
+
+void SettingsWorld::changeMembers(bool atOnce)
+{
+    // As the membership rule has it, no change comes before most hold the one before.
+    constexpr std::chrono::seconds betweenChanges {9};
+    if (!atOnce && m_queue.now() < m_listSince + betweenChanges) {
+        return;
+    }
+    m_listSince = m_queue.now();
+    if (m_list.erase(members - 1) == 0) {
+        m_list.insert(members - 1);
+    }
+    for (std::size_t index = 0; index < members; ++index) {
+        const Duration delay = atOnce ? Duration::zero() : milliseconds(0, 2000);
+        m_queue.after(delay, [this, index, list = m_list] {
+            deliver(index, [this, index, list] {
+                if (list == m_list) {
+                    tellMembers(index, list);
+                }
+            });
+        });
+    }
+}
+
+void SettingsWorld::freeze(std::size_t index, Duration length)
+{
+    m_vms[index].isFrozen = true;
+    m_queue.after(length, [this, index, run = m_vms[index].run] {
+        if (m_vms[index].run != run) {
+            return;
+        }
+        m_vms[index].isFrozen = false;
+        const auto deferred = std::move(m_vms[index].deferred);
+        m_vms[index].deferred.clear();
+        for (const auto &message : deferred) {
+            message();
+        }
+    });
+}
+
+void SettingsWorld::healAll()
+{
+    m_quiet = true;
+    m_cuts.clear();
+    m_store.change(StoreFault::None);
+    for (Vm &vm : m_vms) {
+        vm.store->cut(false);
+        vm.losesDocuments = false;
+    }
+    if (m_list.size() < members) {
+        changeMembers(true);
+    }
+    // Every fault has ended by then. A change must be in force within 4 s of its commit, also
+    // where one VM says nothing.
+    m_queue.after(std::chrono::seconds(8), [this] {
+        if (m_random() % 2 == 0) {
+            freeze(members - 1, std::chrono::seconds(5));
+        }
+        change(0, m_vms[0].driver->document()->revision);
+    });
+}
+
+} // namespace pimentoward::tests
