--- a/src/Pimentoward/Process/SettingsKeeper.cpp
+++ b/src/Pimentoward/Process/SettingsKeeper.cpp
@@ -10,12 +10,11 @@
 
 constexpr const char *watcherKey = "settings";
 
-std::shared_ptr<const SettingsDocument> parseStored(const StoredValue &stored)
+std::shared_ptr<const SettingsDocument> parseStored(const StoredValue &stored, Reason &reason)
 {
     if (stored.revision == 0) {
         return std::make_shared<const SettingsDocument>();
     }
-    Reason reason;
     auto document = SettingsDocument::parse(stored.value, reason);
     return document ? std::make_shared<const SettingsDocument>(std::move(*document)) : nullptr;
 }
@@ -30,7 +29,10 @@
 
 SettingsActions SettingsKeeper::updateMembers(std::vector<MemberId> members, SteadyTime now)
 {
-    m_members = std::move(members);
+    if (members != m_members) {
+        m_members = std::move(members);
+        m_membersSince = now;
+    }
     return tick(now);
 }
 
@@ -171,12 +173,15 @@
     return actions;
 }
 
-bool SettingsKeeper::mayServe(SteadyTime now) const
+SteadyTime SettingsKeeper::serveUntil(SteadyTime now) const
 {
+    if (!m_ready) {
+        return SteadyTime::min();
+    }
     if (!m_settings.stopsWhereBehind) {
-        return m_ready;
+        return SteadyTime::max();
     }
-    return m_ready && now < confirmedAt(now) + m_settings.contactTime + m_settings.catchUpTime;
+    return confirmedAt(now) + m_settings.contactTime + m_settings.catchUpTime;
 }
 
 SteadyTime SettingsKeeper::confirmedAt(SteadyTime now) const
@@ -230,7 +235,8 @@
 
 void SettingsKeeper::takeStored(const StoredValue &stored, bool fromWatch, SettingsActions &actions)
 {
-    const auto document = parseStored(stored);
+    m_problem = {};
+    const auto document = parseStored(stored, m_problem);
     if (document == nullptr) {
         // Settings that this VM cannot read are never taken for "none".
         return;
--- a/src/Pimentoward/Process/SettingsKeeper.h
+++ b/src/Pimentoward/Process/SettingsKeeper.h
@@ -49,10 +49,15 @@
     /// The document in force. Never null.
     const std::shared_ptr<const SettingsDocument> &document() const { return m_document; }
     Revision revision() const { return m_document->revision; }
+    /// Why the store's settings cannot be used; code Ok where they can, or were not read.
+    const Reason &problem() const { return m_problem; }
     /// True once this run has caught up. Before, the VM neither serves nor echoes heartbeats.
     bool isReady() const { return m_ready; }
     /// True where this VM may take on new work, as far as settings go.
-    bool mayServe(SteadyTime now) const;
+    bool mayServe(SteadyTime now) const { return now < serveUntil(now); }
+    /// End of the time for which mayServe() is true as things stand; in the past where it is not.
+    /// A process that was frozen must not serve past the time that it was told before.
+    SteadyTime serveUntil(SteadyTime now) const;
     /// True where this VM is one of those that watch the store.
     bool isWatcher(SteadyTime now) const;
 
@@ -110,6 +115,7 @@
     void write(PendingChange &pending, SettingsActions &actions);
     void committed(PendingChange &pending, Revision revision);
     bool isAccepted(PendingChange &pending, SteadyTime now) const;
+    bool allHold(Revision revision, SteadyTime now) const;
     Reason lateOutcome(const PendingChange &pending) const;
     void answer(const Reason &outcome, SteadyTime now, SettingsActions &actions);
     PendingChange *running();
@@ -118,7 +124,10 @@
     std::shared_ptr<const SettingsDocument> m_document;
     /// The settings key's revision that was seen last.
     Revision m_keyRevision = 0;
+    Reason m_problem;
     std::vector<MemberId> m_members;
+    /// Since when this run has known this member list.
+    SteadyTime m_membersSince {};
     std::map<MemberId, Peer> m_peers;
     bool m_ready = false;
     Revision m_highestHeard = 0;
--- a/src/Pimentoward/Process/SettingsKeeperDriver.cpp
+++ b/src/Pimentoward/Process/SettingsKeeperDriver.cpp
@@ -156,6 +156,11 @@
     return m_state->keeper.document();
 }
 
+const Reason &SettingsKeeperDriver::problem() const
+{
+    return m_state->keeper.problem();
+}
+
 bool SettingsKeeperDriver::isReady() const
 {
     return m_state->keeper.isReady();
@@ -166,6 +171,11 @@
     return m_state->keeper.mayServe(m_state->clock.now());
 }
 
+SteadyTime SettingsKeeperDriver::serveUntil() const
+{
+    return m_state->keeper.serveUntil(m_state->clock.now());
+}
+
 bool SettingsKeeperDriver::isWatcher() const
 {
     return m_state->keeper.isWatcher(m_state->clock.now());
--- a/src/Pimentoward/Process/SettingsKeeperDriver.h
+++ b/src/Pimentoward/Process/SettingsKeeperDriver.h
@@ -53,10 +53,14 @@
 
     /// The document in force; never null.
     const std::shared_ptr<const SettingsDocument> &document() const;
+    /// Why the store's settings cannot be used; code Ok where they can, or were not read.
+    const Reason &problem() const;
     /// True once this run holds the newest settings; before, no heartbeat may be echoed.
     bool isReady() const;
     /// True where this VM may take on new work, as far as settings go.
     bool mayServe() const;
+    /// End of the time for which mayServe() is true as things stand.
+    SteadyTime serveUntil() const;
     /// True where this VM watches the store at present.
     bool isWatcher() const;
     /// Changes in the history that are not yet known to be in the store.
--- a/tests/Process/OperatorApiTest.cpp
+++ b/tests/Process/OperatorApiTest.cpp
@@ -31,6 +31,7 @@
 {
     SettingsKeeperSettings settings;
     settings.self = "vm-1";
+    settings.listSettleTime = {}; // one VM, and no others before
     settings.changeTimeLimit = std::chrono::milliseconds(500);
     return settings;
 }
@@ -46,9 +47,13 @@
 {
     OperatorBench()
         : http(holder.loop, {})
-        , api(http, driver,
+        , api(http, driver, clock, metrics,
               {[this](const auto &done) { done(metrics.render()); },
-               [this] { return driver.isReady(); }})
+               [this] { return driver.isReady(); },
+               [](ExceptionScope scope) {
+                   return scope == ExceptionScope::OneService ? std::vector<std::string>()
+                                                              : std::vector<std::string> {"a", "b"};
+               }})
         , client(holder.loop, {ownHost(), 2})
     {
         Reason reason;
@@ -56,7 +61,6 @@
         REQUIRE(http.listen({ownHost(), 2}, reason));
         driver.updateMembers({"vm-1"});
         ticks.startRepeating(std::chrono::milliseconds(20));
-        metrics.counter("pimentoward_changes_total", "Changes.").add(3);
         while (!driver.isReady()) {
             event_base_loop(holder.loop, EVLOOP_ONCE);
         }
@@ -158,7 +162,17 @@
     CHECK(bench.code("PUT", "/log-level", "LOUD") == ResultCode::InvalidSetting);
     CHECK(bench.call("GET", "/health/ready").status == 200);
     CHECK(bench.call("GET", "/health/live").status == 200);
-    CHECK(bench.call("GET", "/metrics").body.find("pimentoward_changes_total 3\n")
+    SettingsChange out;
+    out.kind = SettingsChangeKind::TakeDomainOut;
+    out.changeId = "out";
+    out.reason = "trial";
+    out.target = "bb";
+    CHECK(bench.code("POST", "/settings", out.toJson()) == ResultCode::InvalidSetting);
+    out.target = "b";
+    CHECK(bench.code("POST", "/settings", out.toJson()) == ResultCode::Ok);
+    const std::string metrics = bench.call("GET", "/metrics").body;
+    CHECK(metrics.find("pimentoward_settings_revision 1\n") != std::string::npos);
+    CHECK(metrics.find("pimentoward_settings_changes_total{result=\"ok\"} 1\n")
           != std::string::npos);
 }
 
@@ -173,3 +187,21 @@
     bench.platform.changeMode(PlatformMode::Up, {});
     CHECK(bench.code("POST", "/settings", changeText(0, "c", "7")) == ResultCode::Ok);
 }
+
+TEST_CASE("A store that lost or garbled the settings never takes them back", "[settings]")
+{
+    OperatorBench bench;
+    CHECK(bench.code("POST", "/settings", changeText(0, "a", "7")) == ResultCode::Ok);
+    const std::string older = bench.platform.store().read("settings").value;
+    CHECK(bench.code("POST", "/settings", changeText(1, "b", "8")) == ResultCode::Ok);
+    bench.platform.store().put("settings", older);
+    // The next change builds on what is in force, and so gives it back to the store.
+    CHECK(bench.code("POST", "/settings", changeText(1, "c", "9")) == ResultCode::RevisionConflict);
+    CHECK(bench.code("POST", "/settings", changeText(2, "d", "10")) == ResultCode::Ok);
+    CHECK(Json::parse(bench.platform.store().read("settings").value).at("revision") == 3);
+    bench.platform.store().put("settings", "garbage");
+    CHECK(bench.code("POST", "/settings", changeText(3, "e", "11")) == ResultCode::InvalidSetting);
+    const Json shown = Json::parse(bench.call("GET", "/settings").body);
+    CHECK(shown.at("revision") == 3);
+    CHECK_FALSE(shown.at("problem").get<std::string>().empty());
+}
