Put operators' settings into the control task

Cause: the keeper, its store driver and the operators' routes stood beside the running tier. Change: documents and questions among control messages; the keeper ticks with membership, hears each heartbeat's revision, and bounds contact (a VM that may hold old settings serves nothing). Ruled out: polling the store from every VM; two watchers and heartbeats carry a change.

--- a/src/Pimentoward/Process/ControlMessages.cpp
+++ b/src/Pimentoward/Process/ControlMessages.cpp
@@ -11,7 +11,12 @@
 
 using Json = nlohmann::json;
 
-enum class MessageType : int { Heartbeat = 1, MemberRecord = 2 };
+enum class MessageType : int {
+    Heartbeat = 1,
+    MemberRecord = 2,
+    SettingsQuestion = 3,
+    SettingsCopy = 4
+};
 
 constexpr unsigned readyFlag = 1;
 constexpr unsigned leavingFlag = 2;
@@ -51,6 +56,16 @@
     return Json::array({static_cast<int>(MessageType::MemberRecord), record.toJson()});
 }
 
+Json toJson(const SettingsQuestion &question, const HeartbeatServerList &)
+{
+    return Json::array({static_cast<int>(MessageType::SettingsQuestion), question.from});
+}
+
+Json toJson(const SettingsCopy &copy, const HeartbeatServerList &)
+{
+    return Json::array({static_cast<int>(MessageType::SettingsCopy), copy.document});
+}
+
 Heartbeat readHeartbeat(const Json &json, const HeartbeatServerList &servers)
 {
     std::size_t place = 1;
@@ -98,6 +113,10 @@
         }
         throw Json::other_error::create(0, reason.text, &json);
     }
+    case MessageType::SettingsQuestion:
+        return SettingsQuestion {json.at(1).get<std::string>()};
+    case MessageType::SettingsCopy:
+        return SettingsCopy {json.at(1).get<std::string>()};
     }
     throw Json::other_error::create(0, "unknown message type", &json);
 }
--- a/src/Pimentoward/Process/ControlMessages.h
+++ b/src/Pimentoward/Process/ControlMessages.h
@@ -10,8 +10,20 @@
 
 namespace pimentoward {
 
+/// Asks a member for its settings document.
+struct SettingsQuestion
+{
+    MemberId from;
+};
+
+/// A member's settings document, as SettingsDocument::parse() reads it.
+struct SettingsCopy
+{
+    std::string document;
+};
+
 /// A message between the control tasks of two VMs.
-using ControlMessage = std::variant<Heartbeat, MemberRecord>;
+using ControlMessage = std::variant<Heartbeat, MemberRecord, SettingsQuestion, SettingsCopy>;
 
 /// Encodes a message as a CBOR array whose first item is the message's type. Heartbeats name
 /// backend servers by bits of `servers`.
--- a/src/Pimentoward/Process/ControlTask.cpp
+++ b/src/Pimentoward/Process/ControlTask.cpp
@@ -8,11 +8,15 @@
 #include "Pimentoward/Process/ControlTaskServices.h"
 #include "Pimentoward/Process/HttpStore.h"
 #include "Pimentoward/Process/Membership.h"
+#include "Pimentoward/Process/Metrics.h"
+#include "Pimentoward/Process/OperatorApi.h"
+#include "Pimentoward/Process/SettingsKeeperDriver.h"
 #include "Pimentoward/Process/Task.h"
 #include "Pimentoward/Process/Timer.h"
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <random>
 #include <set>
 #include <utility>
@@ -53,6 +57,11 @@
         , services(task.loop(), store, [this] { updateServices(); })
         , hub(task.loop(), s.self.id, [this](const std::string &bytes) { onPeerMessage(bytes); })
         , tickTimer(task.loop(), [this] { tick(); })
+        , keeper(keeperSettings(), store, c, keeperHooks())
+        , api(http, keeper, c, metrics,
+              {[this](const auto &done) { done(metrics.render()); },
+               [this] { return hasStarted && clock.now() < contactUntil(); },
+               [this](ExceptionScope scope) { return knownTargets(scope); }})
     {
         documents = std::make_shared<const SettingsDocument>();
         http.route("GET", "/state", [this](const HttpRequest &, const auto &respond) {
@@ -77,6 +86,10 @@
     HeartbeatServerList serverList;
     PeerHub hub;
     Timer tickTimer;
+    Metrics metrics;
+    SettingsKeeperDriver keeper;
+    OperatorApi api;
+    std::set<MemberId> keeperMembers;
     std::shared_ptr<const SettingsDocument> documents;
     std::map<MemberId, Address> peerAddresses;
     /// What the view published last permits.
@@ -88,6 +101,76 @@
     std::function<void()> onLeft;
     log4cplus::Logger log = Log::part("control");
 
+    SettingsKeeperSettings keeperSettings() const
+    {
+        SettingsKeeperSettings result;
+        result.self = settings.self.id;
+        return result;
+    }
+
+    SettingsKeeperDriver::Hooks keeperHooks()
+    {
+        return {[this](const MemberId &to, const std::string &document) {
+                    hub.send(to, encodeControlMessage(SettingsCopy {document}, serverList));
+                },
+                [this](const MemberId &to) {
+                    hub.send(to,
+                             encodeControlMessage(SettingsQuestion {settings.self.id}, serverList));
+                },
+                [this](const auto &document) {
+                    documents = document;
+                    publishView();
+                }};
+    }
+
+    std::vector<std::string> knownTargets(ExceptionScope scope) const
+    {
+        std::set<std::string> names;
+        if (scope == ExceptionScope::OneService) {
+            for (const auto &[name, catalog] : services.services()) {
+                names.insert(name);
+            }
+        } else {
+            for (const auto &[id, failureDomain] : services.backendServers()) {
+                names.insert(failureDomain);
+            }
+            for (const auto &[id, member] : membership.list().record().members) {
+                names.insert(member.failureDomain);
+            }
+        }
+        return {names.begin(), names.end()};
+    }
+
+    /// The member list, as the settings need it.
+    void updateKeeperMembers()
+    {
+        std::set<MemberId> ids;
+        for (const auto &[id, member] : membership.list().record().members) {
+            ids.insert(id);
+        }
+        if (ids != keeperMembers) {
+            keeperMembers = ids;
+            keeper.updateMembers({ids.begin(), ids.end()});
+        }
+    }
+
+    /// What a heartbeat that was just taken in tells of its sender's settings.
+    void reportSettings(const MemberId &from)
+    {
+        const auto *peer = membership.peers().find(from);
+        if (peer == nullptr) {
+            return;
+        }
+        const SteadyTime echo = membership.contact().lastEcho(from);
+        keeper.onReport({from, peer->settingsRevision, peer->ready,
+                         echo == SteadyTime {} ? std::nullopt : std::optional(echo)});
+    }
+
+    SteadyTime contactUntil() const
+    {
+        return std::min(membership.contactUntil(clock.now()), keeper.serveUntil());
+    }
+
     void start()
     {
         members.start();
@@ -98,7 +181,9 @@
 
     void tick()
     {
-        membership.updateSettings(documents->revision, true);
+        updateKeeperMembers();
+        keeper.tick();
+        membership.updateSettings(documents->revision, keeper.isReady());
         // What is owned no longer leaves the view before the others hear of it.
         const Membership::Actions actions = membership.tick(clock.now());
         afterEvent();
@@ -121,8 +206,13 @@
         Membership::Actions actions;
         if (const auto *heartbeat = std::get_if<Heartbeat>(&*message)) {
             actions = membership.onHeartbeat(*heartbeat, clock.now());
+            reportSettings(heartbeat->from);
         } else if (const auto *record = std::get_if<MemberRecord>(&*message)) {
             membership.onMemberList(*record, clock.now());
+        } else if (const auto *question = std::get_if<SettingsQuestion>(&*message)) {
+            keeper.onAsk(question->from);
+        } else if (const auto *copy = std::get_if<SettingsCopy>(&*message)) {
+            keeper.onDocument(copy->document);
         }
         afterEvent();
         send(actions);
@@ -205,7 +295,7 @@
         const SteadyTime latest = startedAt + settings.membership.holdTime() + longestStart;
         hasStarted
             |= now >= latest || (!services.services().empty() && membership.unownedCount(now) == 0);
-        view->contactUntil = hasStarted ? membership.contactUntil(now) : SteadyTime {};
+        view->contactUntil = hasStarted ? contactUntil() : SteadyTime {};
         publish(std::move(view));
     }
 
