Hand over at once where no work of the former owner runs any more

Change: the query task reports the newest view that it has taken and where work may run; ReleasedServers tells membership which backend servers are quiet. The owner caps each dispatch at the longest dispatch that the takeover proof assumes, and asks the planning office's schedule directly before the send. Ruled out: a shorter longest dispatch; it bounds takeover by silence, too.

--- a/apps/pimentod/main.cpp
+++ b/apps/pimentod/main.cpp
@@ -59,10 +59,10 @@
 public:
     explicit Daemon(const ResolvedSettings &settings)
         : m_query(querySettings(settings), m_clock)
-        , m_control(
-              controlSettings(settings), m_clock,
-              [this](auto view) { m_query.postView(std::move(view)); },
-              [this](ControlTask::DumpHook hook) { m_query.postDump(std::move(hook)); })
+        , m_control(controlSettings(settings), m_clock,
+                    {[this](auto view) { m_query.postView(std::move(view)); },
+                     [this](ControlTask::DumpHook hook) { m_query.postDump(std::move(hook)); },
+                     [this](ControlTask::BusyHook hook) { m_query.postBusy(std::move(hook)); }})
         , m_drain(drainSettings(settings))
         , m_drainTimer(m_main.loop(), [this] { onDrainTimer(); })
         , m_signals(m_main.loop(), {SIGINT, SIGTERM, SIGUSR1},
--- a/src/Pimentoward/Connection/Owner.cpp
+++ b/src/Pimentoward/Connection/Owner.cpp
@@ -138,15 +138,16 @@
         return *entry;
     }
 
-    bool isLeaving(const BackendServer &server) const
+    bool isLeaving(const ServiceName &service, const BackendServer &server) const
     {
         const auto known = backends.find(server.id);
         const bool saysSo = known != backends.end() && clock->now() < known->second->leavingUntil;
-        return saysSo || server.leaving || view->settings->isOut(server.failureDomain);
+        return saysSo || view->settings->isOut(server.failureDomain)
+            || !view->services.at(service)->mayTakeNewWork(server, clock->wallNow());
     }
 
     /// Why no work may go to the backend server now.
-    std::optional<Reason> refusal(const BackendServer *server) const
+    std::optional<Reason> refusal(const ServiceName &service, const BackendServer *server) const
     {
         if (server == nullptr) {
             return Reason {ResultCode::NotRunNotOwner, "the backend server is not known here"};
@@ -157,7 +158,7 @@
         if (!view->mayDispatch(server->id, clock->now())) {
             return Reason {ResultCode::NotRunNotOwner, {}};
         }
-        if (isLeaving(*server)) {
+        if (isLeaving(service, *server)) {
             return Reason {ResultCode::NotRunLeaving, "the backend server is out of service"};
         }
         return std::nullopt;
@@ -227,13 +228,16 @@
             reason = {ResultCode::NotRunCancelled, "cancelled before dispatch"};
             return std::nullopt;
         }
-        if (const auto refused = refusal(describe(backend.service, backend.description.id))) {
+        const BackendServer *server = describe(backend.service, backend.description.id);
+        if (const auto refused = refusal(backend.service, server)) {
             reason = *refused;
             return std::nullopt;
         }
         subrequest.sent = clock->now();
-        return BackendCall::run(*subrequest.batch, subrequest.item,
-                                subrequest.deadline - *subrequest.sent, deadlineGrace);
+        // Whoever takes over from a silent owner waits as long, and no longer.
+        const Duration timeLeft
+            = std::min<Duration>(subrequest.deadline - *subrequest.sent, view->longestDispatch);
+        return BackendCall::run(*subrequest.batch, subrequest.item, timeLeft, deadlineGrace);
     }
 
     void onEnded(OwnedBackend &backend, DispatchToken token,
@@ -299,7 +303,7 @@
         if (server != nullptr) {
             backend.dispatcher.updateSettings(dispatcherSettings(backend.service, *server));
         }
-        if (const auto refused = refusal(server)) {
+        if (const auto refused = refusal(backend.service, server)) {
             apply(backend, backend.dispatcher.refuseAll(*refused));
             backend.pool.closeIdle();
         } else if (!couldDispatch) {
@@ -349,7 +353,7 @@
     for (const SubrequestItem &item : batch.items) {
         OwnedSubrequest subrequest {shared, item, deadline, {}, false};
         const BackendServer *server = m_state->describe(batch.service, item.backendServer);
-        if (const auto refused = m_state->refusal(server)) {
+        if (const auto refused = m_state->refusal(batch.service, server)) {
             m_state->send(subrequest, failureReply(subrequest, *refused), nullptr);
         } else {
             m_state->add(m_state->backendFor(batch, *server), std::move(subrequest));
@@ -379,6 +383,17 @@
     return total;
 }
 
+std::set<BackendServerId> Owner::busy() const
+{
+    std::set<BackendServerId> result;
+    for (const auto &[id, backend] : m_state->backends) {
+        if (backend->dispatcher.inFlight() > 0) {
+            result.insert(id);
+        }
+    }
+    return result;
+}
+
 nlohmann::json Owner::dump() const
 {
     nlohmann::json result = nlohmann::json::object();
--- a/src/Pimentoward/Connection/Owner.h
+++ b/src/Pimentoward/Connection/Owner.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 
 struct event_base;
 
@@ -34,6 +35,8 @@
     void cancel(const SubrequestCancel &cancel);
     /// Dispatched subrequests that have not ended.
     std::size_t inFlight() const;
+    /// Backend servers at which work of this VM may still run.
+    std::set<BackendServerId> busy() const;
     /// Each backend server's state, for the dump.
     nlohmann::json dump() const;
 
--- a/src/Pimentoward/Process/ControlTask.cpp
+++ b/src/Pimentoward/Process/ControlTask.cpp
@@ -10,6 +10,7 @@
 #include "Pimentoward/Process/Membership.h"
 #include "Pimentoward/Process/Metrics.h"
 #include "Pimentoward/Process/OperatorApi.h"
+#include "Pimentoward/Process/ReleasedServers.h"
 #include "Pimentoward/Process/SettingsKeeperDriver.h"
 #include "Pimentoward/Process/Task.h"
 #include "Pimentoward/Process/Timer.h"
@@ -43,11 +44,10 @@
 
 struct ControlTask::State
 {
-    State(const ControlTaskSettings &s, const Clock &c, ViewHook p, QueryDumpHook d)
+    State(const ControlTaskSettings &s, const Clock &c, Hooks h)
         : settings(s)
         , clock(c)
-        , publish(std::move(p))
-        , queryDump(std::move(d))
+        , hooks(std::move(h))
         , task("control")
         , http(task.loop(), {})
         , store(task.loop(), s.platform, s.storeCallTimeout)
@@ -64,6 +64,8 @@
                [this](ExceptionScope scope) { return knownTargets(scope); }})
     {
         documents = std::make_shared<const SettingsDocument>();
+        membership.onQuietQuestion(
+            [this](const BackendServerId &id) { return released.isQuiet(id); });
         http.route("GET", "/state", [this](const HttpRequest &, const auto &respond) {
             dump([respond](const nlohmann::json &state) {
                 constexpr int indent = 2;
@@ -74,8 +76,7 @@
 
     ControlTaskSettings settings;
     const Clock &clock;
-    ViewHook publish;
-    QueryDumpHook queryDump;
+    Hooks hooks;
     Task task;
     HttpServer http;
     HttpStore store;
@@ -90,6 +91,8 @@
     SettingsKeeperDriver keeper;
     OperatorApi api;
     std::set<MemberId> keeperMembers;
+    ReleasedServers released;
+    std::uint64_t viewSequence = 0;
     std::shared_ptr<const SettingsDocument> documents;
     std::map<MemberId, Address> peerAddresses;
     /// What the view published last permits.
@@ -188,12 +191,24 @@
         const Membership::Actions actions = membership.tick(clock.now());
         afterEvent();
         send(actions);
+        askForBusy();
         const bool isOut = membership.isReady() && !membership.list().contains(settings.self.id);
         if (onLeft && (isOut || !membership.holdsAny())) {
             std::exchange(onLeft, nullptr)();
         }
     }
 
+    /// A handover is at once where nothing of this VM runs at the backend server any more.
+    void askForBusy()
+    {
+        if (!released.needsReport()) {
+            return;
+        }
+        hooks.queryBusy([this](std::uint64_t sequence, const std::set<BackendServerId> &busy) {
+            task.post([this, sequence, busy] { released.onReport(sequence, busy); });
+        });
+    }
+
     void onPeerMessage(const std::string &bytes)
     {
         Reason reason;
@@ -279,15 +294,19 @@
         const SteadyTime now = clock.now();
         publishedAt = now;
         auto view = std::make_shared<ControlView>();
+        view->sequence = ++viewSequence;
         view->epoch = membership.list().epoch();
         view->members = membership.list().record().members;
         view->services = services.services();
         view->settings = documents;
         view->longestDispatch = settings.membership.longestDispatch;
         view->leaving = membership.isLeaving();
+        std::set<BackendServerId> owned;
         for (const auto &[id, until] : membership.ownedUntil(now)) {
             view->ownedUntil[id] = until;
+            owned.insert(id);
         }
+        released.onPublished(view->sequence, owned);
         for (const auto &[id, member] : membership.owners(now)) {
             view->owners[id] = member;
         }
@@ -296,7 +315,7 @@
         hasStarted
             |= now >= latest || (!services.services().empty() && membership.unownedCount(now) == 0);
         view->contactUntil = hasStarted ? contactUntil() : SteadyTime {};
-        publish(std::move(view));
+        hooks.publish(std::move(view));
     }
 
     nlohmann::json membersDump() const
@@ -349,7 +368,7 @@
     /// Runs on the control task; the answer comes back to it.
     void dump(const DumpHook &hook)
     {
-        queryDump([this, hook](const nlohmann::json &query) {
+        hooks.queryDump([this, hook](const nlohmann::json &query) {
             task.post([this, hook, query] {
                 nlohmann::json whole = ownDump();
                 whole["query"] = query;
@@ -359,9 +378,8 @@
     }
 };
 
-ControlTask::ControlTask(const ControlTaskSettings &settings, const Clock &clock, ViewHook publish,
-                         QueryDumpHook queryDump)
-    : m_state(std::make_unique<State>(settings, clock, std::move(publish), std::move(queryDump)))
+ControlTask::ControlTask(const ControlTaskSettings &settings, const Clock &clock, Hooks hooks)
+    : m_state(std::make_unique<State>(settings, clock, std::move(hooks)))
 { }
 
 ControlTask::~ControlTask()
--- a/src/Pimentoward/Process/ControlTask.h
+++ b/src/Pimentoward/Process/ControlTask.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 
 namespace pimentoward {
 
@@ -32,10 +33,21 @@
     using DumpHook = std::function<void(const nlohmann::json &)>;
     /// Asks the query task for its state; the hook may run on any thread.
     using QueryDumpHook = std::function<void(DumpHook)>;
+    /// Takes the query task's newest view and the backend servers where work may still run.
+    using BusyHook
+        = std::function<void(std::uint64_t sequence, const std::set<BackendServerId> &busy)>;
 
-    /// `publish` runs on the control task.
-    ControlTask(const ControlTaskSettings &settings, const Clock &clock, ViewHook publish,
-                QueryDumpHook queryDump);
+    /// How the control task reaches the query task.
+    struct Hooks
+    {
+        /// Runs on the control task.
+        ViewHook publish;
+        QueryDumpHook queryDump;
+        /// Asks where work may still run; the hook may run on any thread.
+        std::function<void(BusyHook)> queryBusy;
+    };
+
+    ControlTask(const ControlTaskSettings &settings, const Clock &clock, Hooks hooks);
     ~ControlTask();
     ControlTask(const ControlTask &) = delete;
     ControlTask &operator=(const ControlTask &) = delete;
--- a/src/Pimentoward/Process/ControlView.h
+++ b/src/Pimentoward/Process/ControlView.h
@@ -25,6 +25,8 @@
 /// nothing.
 struct ControlView
 {
+    /// Rises with each view that the control task publishes.
+    std::uint64_t sequence = 0;
     Epoch epoch = 0;
     std::map<MemberId, Member> members;
     /// New work may be taken and dispatched before this time: quorum contact.
--- a/src/Pimentoward/Process/QueryTask.cpp
+++ b/src/Pimentoward/Process/QueryTask.cpp
@@ -231,6 +231,13 @@
     m_state->task.post([state = m_state.get()] { state->stopping = true; });
 }
 
+void QueryTask::postBusy(BusyHook hook)
+{
+    m_state->task.post([state = m_state.get(), hook = std::move(hook)] {
+        hook(state->view == nullptr ? 0 : state->view->sequence, state->owner.busy());
+    });
+}
+
 void QueryTask::postRunning(std::function<void(std::size_t)> hook)
 {
     m_state->task.post([state = m_state.get(), hook = std::move(hook)] { hook(state->running()); });
--- a/src/Pimentoward/Process/QueryTask.h
+++ b/src/Pimentoward/Process/QueryTask.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 
 namespace pimentoward {
 
@@ -32,6 +33,9 @@
 {
 public:
     using DumpHook = std::function<void(const nlohmann::json &)>;
+    /// The sequence of the newest view taken, and where work of this VM may still run.
+    using BusyHook
+        = std::function<void(std::uint64_t sequence, const std::set<BackendServerId> &busy)>;
 
     QueryTask(const QueryTaskSettings &settings, const Clock &clock);
     ~QueryTask();
@@ -47,6 +51,8 @@
     void postView(std::shared_ptr<const ControlView> view);
     /// /health/ready answers "not ready" from now on; requests are still taken. From any thread.
     void postNotReady();
+    /// Reports to `hook`, which runs on the task. From any thread.
+    void postBusy(BusyHook hook);
     /// Counts the work that runs on this VM and passes it to `hook`, which runs on the task. From
     /// any thread.
     void postRunning(std::function<void(std::size_t)> hook);
--- /dev/null
+++ b/src/Pimentoward/Process/ReleasedServers.cpp
@@ -0,0 +1,43 @@
+#include "Pimentoward/Process/ReleasedServers.h"
+
+namespace pimentoward {
+
+void ReleasedServers::onPublished(std::uint64_t sequence, const std::set<BackendServerId> &owned)
+{
+    for (const BackendServerId &id : m_owned) {
+        if (owned.count(id) == 0) {
+            m_releasedIn[id] = sequence;
+        }
+    }
+    // Owned again: what was reported of it before says nothing any more.
+    for (const BackendServerId &id : owned) {
+        m_releasedIn.erase(id);
+        m_quiet.erase(id);
+    }
+    m_owned = owned;
+}
+
+void ReleasedServers::onReport(std::uint64_t sequence, const std::set<BackendServerId> &busy)
+{
+    for (auto entry = m_releasedIn.begin(); entry != m_releasedIn.end();) {
+        const bool isQuiet = sequence >= entry->second && busy.count(entry->first) == 0;
+        if (!isQuiet) {
+            ++entry;
+            continue;
+        }
+        m_quiet.insert(entry->first);
+        entry = m_releasedIn.erase(entry);
+    }
+}
+
+bool ReleasedServers::isQuiet(const BackendServerId &id) const
+{
+    return m_quiet.count(id) > 0;
+}
+
+bool ReleasedServers::needsReport() const
+{
+    return !m_releasedIn.empty();
+}
+
+} // namespace pimentoward
--- a/tests/support/TestDeployment.cpp
+++ b/tests/support/TestDeployment.cpp
@@ -122,8 +122,11 @@
     control.peerListen = {record.host, callerPort + 3};
     QueryTask *queryTask = vm.query.get();
     vm.control = std::make_unique<ControlTask>(
-        control, m_clock, [queryTask](auto view) { queryTask->postView(std::move(view)); },
-        [queryTask](ControlTask::DumpHook hook) { queryTask->postDump(std::move(hook)); });
+        control, m_clock,
+        ControlTask::Hooks {
+            [queryTask](auto view) { queryTask->postView(std::move(view)); },
+            [queryTask](ControlTask::DumpHook hook) { queryTask->postDump(std::move(hook)); },
+            [queryTask](ControlTask::BusyHook hook) { queryTask->postBusy(std::move(hook)); }});
     Reason reason;
     require(vm.query->listen(reason) && vm.control->listen(reason), reason);
     vm.query->start();
