A leaving VM refuses late subrequests by name before it ends

Cause: a VM that was idle after its handover ended at once; batches under way to it were lost with the connection, and their senders waited until the deadline. Change: it stays for 500 ms more. The decision is told when the handover was done. Ruled out: sending batches again when a link closes; an order may have left by then.

--- a/apps/pimentod/main.cpp
+++ b/apps/pimentod/main.cpp
@@ -117,8 +117,9 @@
             if (std::holds_alternative<Drain::TurnReadinessOff>(action)) {
                 m_query.postNotReady();
             } else if (std::holds_alternative<Drain::Leave>(action)) {
-                m_control.postLeave(
-                    [this] { m_main.post([this] { m_drain.onOwnershipReleased(); }); });
+                m_control.postLeave([this] {
+                    m_main.post([this] { m_drain.onOwnershipReleased(m_clock.now()); });
+                });
             } else if (const auto *exit = std::get_if<Drain::Exit>(&action)) {
                 LOG4CPLUS_INFO(m_log, "Stopped; requests cut: " << exit->cut);
                 event_base_loopbreak(m_main.loop());
--- a/src/Pimentoward/Process/Drain.cpp
+++ b/src/Pimentoward/Process/Drain.cpp
@@ -19,16 +19,16 @@
     return {TurnReadinessOff {}};
 }
 
-void Drain::onOwnershipReleased()
+void Drain::onOwnershipReleased(SteadyTime now)
 {
-    m_isReleased = true;
+    m_releasedAt = now;
     // Work that arrived until now must be counted once more.
     m_running.reset();
 }
 
 void Drain::onRunning(std::size_t running)
 {
-    if (m_phase == Phase::Leaving && m_isReleased) {
+    if (m_phase == Phase::Leaving && m_releasedAt) {
         m_running = running;
     }
 }
@@ -46,7 +46,8 @@
         return {Leave {}};
     }
     const bool isIdle = !m_settings.waitForRunning || m_running == std::size_t {0};
-    if (m_phase == Phase::Leaving && m_isReleased && isIdle) {
+    const bool isSettled = m_releasedAt && now - *m_releasedAt >= m_settings.settleTime;
+    if (m_phase == Phase::Leaving && isSettled && isIdle) {
         return exit();
     }
     return {};
--- a/src/Pimentoward/Process/Drain.h
+++ b/src/Pimentoward/Process/Drain.h
@@ -18,6 +18,9 @@
         /// Time for which requests are still taken after readiness is off, so that the balancer
         /// notices first.
         std::chrono::milliseconds readinessDelay {2000};
+        /// Time after the handover for which requests that others sent before they heard of it are
+        /// still refused by name, in place of being lost with the connection.
+        std::chrono::milliseconds settleTime {500};
         /// The process ends after this time, whatever still runs.
         std::chrono::milliseconds limit {30'000};
         /// Off in tests only: ends without waiting for running work.
@@ -43,7 +46,7 @@
     /// A stop is asked for; a second time it means "at once".
     Actions onStopSignal(SteadyTime now);
     /// All backend servers have other owners.
-    void onOwnershipReleased();
+    void onOwnershipReleased(SteadyTime now);
     /// Work that runs on this VM at present: queries, orders, settlements and subrequests.
     void onRunning(std::size_t running);
     /// To be called at least every 100 ms once a stop has been asked for.
@@ -58,7 +61,7 @@
     Settings m_settings;
     Phase m_phase = Phase::Serving;
     SteadyTime m_started {};
-    bool m_isReleased = false;
+    std::optional<SteadyTime> m_releasedAt;
     /// Unknown until it was counted after the leave.
     std::optional<std::size_t> m_running;
 };
--- a/tests/Process/DrainTest.cpp
+++ b/tests/Process/DrainTest.cpp
@@ -30,7 +30,7 @@
         const auto actions = drain.tick(startTime + passed);
         if (has<Drain::Leave>(actions)) {
             left = true;
-            drain.onOwnershipReleased();
+            drain.onOwnershipReleased(startTime + passed);
         }
         if (has<Drain::Exit>(actions)) {
             return passed;
@@ -70,3 +70,16 @@
     CHECK(has<Drain::Exit>(drain.onStopSignal(startTime + milliseconds(10))));
     CHECK(drain.tick(startTime + milliseconds(20)).empty());
 }
+
+TEST_CASE("An idle VM stays for a while after the handover, to refuse what was under way to it")
+{
+    Drain::Settings settings;
+    Drain drain(settings);
+    drain.onStopSignal(startTime);
+    const SteadyTime left = startTime + settings.readinessDelay;
+    CHECK(has<Drain::Leave>(drain.tick(left)));
+    drain.onOwnershipReleased(left);
+    drain.onRunning(0);
+    CHECK(drain.tick(left + settings.settleTime - milliseconds(1)).empty());
+    CHECK(has<Drain::Exit>(drain.tick(left + settings.settleTime)));
+}
