Ask again for a shard between two owners, outside the retry budget

No backend server gets load from them. Ruled out: a larger retry budget, which would let real failures load backend servers.

--- a/src/Pimentoward/Request/ScatterGather.cpp
+++ b/src/Pimentoward/Request/ScatterGather.cpp
@@ -21,6 +21,13 @@
         || code == ResultCode::VersionGone;
 }
 
+/// True where a VM of the tier refused because ownership is changing hands: no backend server has
+/// had any load from it, and the next owner is known within seconds.
+bool isBetweenOwners(ResultCode code)
+{
+    return code == ResultCode::NotRunNotOwner || code == ResultCode::NotRunNoContact;
+}
+
 } // namespace
 
 ScatterGather::ScatterGather(QueryPlan plan, const Environment &environment)
@@ -143,8 +150,9 @@
     avoid.insert(avoid.end(), state.goneOn.begin(), state.goneOn.end());
     const auto to = m_environment.choose(m_plan.shards[index], avoid, Purpose::Retry, now);
     // In the first round, failing over from a replica that did nothing is free: it is no extra
-    // load, and a shard has few replicas.
-    const bool isFree = state.attempts == 0 && provesNotRun(state.lastFailure.code);
+    // load, and a shard has few replicas. So is asking again while owners change.
+    const bool isFree = isBetweenOwners(state.lastFailure.code)
+        || (state.attempts == 0 && provesNotRun(state.lastFailure.code));
     if (to && (isFree || m_environment.policy.takeRetry(now))) {
         send(index, *to, Purpose::Retry, now, actions);
         return;
@@ -165,7 +173,8 @@
 void ScatterGather::retryLater(ShardState &state, SteadyTime now)
 {
     ++state.attempts;
-    if (!m_plan.coverageFirst && state.attempts >= mostAttempts) {
+    const bool isBounded = !m_plan.coverageFirst && !isBetweenOwners(state.lastFailure.code);
+    if (isBounded && state.attempts >= mostAttempts) {
         state.givenUp = true;
         return;
     }
--- a/tests/Request/ScatterGatherTest.cpp
+++ b/tests/Request/ScatterGatherTest.cpp
@@ -173,3 +173,29 @@
     CHECK(answer->outcome.code == ResultCode::PartialCoverage);
     CHECK(answer->coverage == 0.5);
 }
+
+TEST_CASE("A shard between two owners is asked for again until the deadline, outside the budget",
+          "[request]")
+{
+    tests::Scatter scatter;
+    ScatterGather gather(tests::makePlan(1, deadline), scatter.environment);
+    SubrequestItem item = sentItems(gather.start(startTime)).front();
+    SteadyTime now = startTime;
+    constexpr int refusals = 20;
+    for (int refusal = 0; refusal < refusals; ++refusal) {
+        Subreply reply = replyTo(item, "");
+        reply.code = ResultCode::NotRunNotOwner;
+        auto next = sentItems(gather.onSubreply(reply, now));
+        while (next.empty()) {
+            REQUIRE_FALSE(gather.isFinished());
+            now = gather.nextTimer();
+            REQUIRE(now < deadline);
+            next = sentItems(gather.onTimer(now));
+        }
+        item = next.front();
+    }
+    CHECK(scatter.policy.retryBudget().taken() == 0);
+    const auto answer = answerIn(gather.onSubreply(replyTo(item, "[1]"), now));
+    REQUIRE(answer);
+    CHECK(answer->coverage == 1.0);
+}
