One refusal for queries and orders; a full entry refuses less urgent classes first

Change: ControlView::refusal serves both; evening requests are taken up to three quarters of the entry queue, batch up to a half, interactive up to all of it. Ruled out: displacing running queries; their subrequests have already loaded backend servers. Measured: the new CoordinatorTest case passes, with the former flat limit its second batch request is taken; [request] passes.

--- a/src/Pimentoward/Process/ControlView.h
+++ b/src/Pimentoward/Process/ControlView.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "Pimentoward/Core/Reason.h"
 #include "Pimentoward/Core/Types.h"
 #include "Pimentoward/Process/SettingsDocument.h"
 #include "Pimentoward/Version/ServiceCatalog.h"
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -45,6 +47,8 @@
 
     /// True where this VM may take on or dispatch new work.
     bool hasContact(SteadyTime now) const { return now < contactUntil; }
+    /// Why this VM takes no request for `service` now; nothing where it does.
+    std::optional<Reason> refusal(const ServiceName &service, SteadyTime now) const;
     /// True where this VM may dispatch to the backend server.
     bool mayDispatch(const BackendServerId &backendServer, SteadyTime now) const
     {
--- a/src/Pimentoward/Request/Coordinator.cpp
+++ b/src/Pimentoward/Request/Coordinator.cpp
@@ -12,6 +12,26 @@
 
 namespace pimentoward {
 
+namespace {
+
+/// Share of the entry queue up to which requests of a class are taken.
+double shareOfEntryQueue(RequestClass requestClass)
+{
+    constexpr double eveningShare = 0.75;
+    constexpr double batchShare = 0.5;
+    switch (requestClass) {
+    case RequestClass::Interactive:
+        break;
+    case RequestClass::Evening:
+        return eveningShare;
+    case RequestClass::Batch:
+        return batchShare;
+    }
+    return 1;
+}
+
+} // namespace
+
 struct Coordinator::State
 {
     /// One query from its arrival to its answer.
@@ -91,18 +111,16 @@
 
     std::optional<Reason> refusal(const CallerRequest &request) const
     {
-        if (view == nullptr || !view->hasContact(clock->now())) {
+        if (view == nullptr) {
             return Reason {ResultCode::NotRunNoContact, {}};
         }
-        if (view->leaving) {
-            return Reason {ResultCode::NotRunLeaving, {}};
-        }
-        if (view->services.count(request.service) == 0) {
-            return Reason {ResultCode::UnknownService,
-                           "there is no service '" + request.service + "'"};
+        if (auto refused = view->refusal(request.service, clock->now())) {
+            return refused;
         }
-        const int limit = view->settings->integer(operator_settings::entryQueueLimit);
-        if (queries.size() >= static_cast<std::size_t>(limit)) {
+        // The less urgent a class, the earlier it is refused: the rest is kept for urgent ones.
+        const double limit = view->settings->integer(operator_settings::entryQueueLimit)
+            * shareOfEntryQueue(request.requestClass);
+        if (static_cast<double>(queries.size()) >= limit) {
             return Reason {ResultCode::NotRunOverloaded, {}};
         }
         return std::nullopt;
--- a/src/Pimentoward/Request/OrderCoordinator.cpp
+++ b/src/Pimentoward/Request/OrderCoordinator.cpp
@@ -64,17 +64,8 @@
 
     std::optional<Reason> refusal(const OrderRequest &request) const
     {
-        if (view == nullptr || !view->hasContact(clock->now())) {
-            return Reason {ResultCode::NotRunNoContact, {}};
-        }
-        if (view->leaving) {
-            return Reason {ResultCode::NotRunLeaving, {}};
-        }
-        if (view->services.count(request.service) == 0) {
-            return Reason {ResultCode::UnknownService,
-                           "there is no service '" + request.service + "'"};
-        }
-        return std::nullopt;
+        return view == nullptr ? Reason {ResultCode::NotRunNoContact, {}}
+                               : view->refusal(request.service, clock->now());
     }
 
     std::optional<OrderPlan> plan(const OrderRequest &request) const
--- a/tests/Request/CoordinatorTest.cpp
+++ b/tests/Request/CoordinatorTest.cpp
@@ -1,5 +1,6 @@
 #include "Pimentoward/Request/Coordinator.h"
 #include "Pimentoward/Core/SystemClock.h"
+#include "Pimentoward/Process/OperatorSettings.h"
 #include "tests/support/QueryPlans.h"
 #include "tests/support/VirtualClock.h"
 
@@ -90,3 +91,31 @@
     CHECK(answer->outcome.code == ResultCode::PeerUnreachable);
     CHECK(clock.now() - start < milliseconds(1000));
 }
+
+TEST_CASE("A full entry refuses less urgent classes first, as not run", "[request]")
+{
+    tests::VirtualClock clock;
+    const auto keep = [](const MemberId &, const auto &) { return true; };
+    Coordinator coordinator(nullptr, clock, "vm-1", "r", {keep, keep});
+    const auto view = makeView(clock.wallNow());
+    SettingsDocument settings;
+    settings.defaults[operator_settings::entryQueueLimit] = "4";
+    view->settings = std::make_shared<const SettingsDocument>(settings);
+    coordinator.updateView(view);
+    const auto isTaken = [&](RequestClass requestClass) {
+        CallerRequest request = search(milliseconds(1000));
+        request.requestClass = requestClass;
+        std::optional<ResultCode> refusal;
+        coordinator.query(request,
+                          [&](const QueryAnswer &answer) { refusal = answer.outcome.code; });
+        CHECK((!refusal || *refusal == ResultCode::NotRunOverloaded));
+        return !refusal;
+    };
+    CHECK(isTaken(RequestClass::Interactive));
+    CHECK(isTaken(RequestClass::Batch));
+    CHECK_FALSE(isTaken(RequestClass::Batch));
+    CHECK(isTaken(RequestClass::Evening));
+    CHECK_FALSE(isTaken(RequestClass::Evening));
+    CHECK(isTaken(RequestClass::Interactive));
+    CHECK_FALSE(isTaken(RequestClass::Interactive));
+}
