Compare histogram counts in their own type

Cause: the linter found a product widened after an int multiplication in LoadTest. Change: the doubled histogram is compared with twice the counted values, and these with the input.

--- a/tests/standins/LoadTest.cpp
+++ b/tests/standins/LoadTest.cpp
@@ -78,7 +78,8 @@
     Histogram sum;
     sum.add(histogram);
     sum.add(histogram);
-    CHECK(sum.count() == 2 * values);
+    CHECK(histogram.count() == std::uint64_t {values});
+    CHECK(sum.count() == 2 * histogram.count());
     CHECK(sum.quantile(0.5) == histogram.quantile(0.5));
     CHECK(Histogram().quantile(0.5) == Duration::zero());
 }
