Split the two long files; one maker of a subrequest's reply

Change: OwnedSubrequest, OwnedBackend and MembershipDump get files of their own; replyTo() serves the coordinator, orders, owner and backend call.

--- a/src/Pimentoward/Connection/BackendCall.cpp
+++ b/src/Pimentoward/Connection/BackendCall.cpp
@@ -60,12 +60,7 @@
 Subreply BackendCall::readReply(const SubrequestBatch &batch, const SubrequestItem &item,
                                 const HttpAnswer &answer)
 {
-    Subreply reply;
-    reply.requestId = batch.requestId;
-    reply.number = item.number;
-    reply.shard = item.shard;
-    reply.backendServer = item.backendServer;
-    reply.version = batch.version;
+    Subreply reply = replyTo(batch, item, {});
     if (answer.status == statusOk) {
         if (isOwnReply(batch, item, answer)) {
             reply.body = answer.body;
--- /dev/null
+++ b/src/Pimentoward/Connection/OwnedSubrequest.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "Pimentoward/Connection/BackendCall.h"
+#include "Pimentoward/Request/Messages.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace pimentoward {
+
+/// One subrequest at its owner, from its arrival to its reply.
+struct OwnedSubrequest
+{
+    std::shared_ptr<const SubrequestBatch> batch;
+    SubrequestItem item;
+    SteadyTime deadline;
+    /// When it was sent to the backend server.
+    std::optional<SteadyTime> sent;
+    bool cancelled = false;
+
+    std::string id() const { return BackendCall::subrequestId(batch->requestId, item.number); }
+    /// The reply that says why there is no result.
+    Subreply failure(const Reason &reason) const { return replyTo(*batch, item, reason); }
+};
+
+} // namespace pimentoward
--- a/src/Pimentoward/Connection/Owner.cpp
+++ b/src/Pimentoward/Connection/Owner.cpp
@@ -1,8 +1,7 @@
 #include "Pimentoward/Connection/Owner.h"
 
 #include "Pimentoward/Connection/BackendCall.h"
-#include "Pimentoward/Connection/BackendConnectionPool.h"
-#include "Pimentoward/Connection/BackendDispatcher.h"
+#include "Pimentoward/Connection/OwnedBackend.h"
 #include "Pimentoward/Core/Log.h"
 #include "Pimentoward/Process/OperatorSettings.h"
 #include "Pimentoward/Process/Timer.h"
@@ -23,62 +22,6 @@
 /// How long a backend server's word that it is leaving stands where it says no more.
 constexpr std::chrono::seconds leavingMemory {60};
 
-/// One subrequest from its arrival to its reply.
-struct OwnedSubrequest
-{
-    std::shared_ptr<const SubrequestBatch> batch;
-    SubrequestItem item;
-    SteadyTime deadline;
-    /// When it was sent to the backend server.
-    std::optional<SteadyTime> sent;
-    bool cancelled = false;
-
-    std::string id() const { return BackendCall::subrequestId(batch->requestId, item.number); }
-};
-
-Subreply failureReply(const OwnedSubrequest &subrequest, const Reason &reason)
-{
-    Subreply reply;
-    reply.requestId = subrequest.batch->requestId;
-    reply.number = subrequest.item.number;
-    reply.shard = subrequest.item.shard;
-    reply.backendServer = subrequest.item.backendServer;
-    reply.version = subrequest.batch->version;
-    reply.code = reason.code;
-    reply.detail = reason.text;
-    return reply;
-}
-
-/// One backend server that this VM has owned since it started.
-struct OwnedBackend
-{
-    OwnedBackend(event_base *loop, const Clock &clock, ServiceName serviceName,
-                 const BackendServer &server, const BackendDispatcher::Settings &settings)
-        : service(std::move(serviceName))
-        , description(server)
-        , dispatcher(settings)
-        , pool(loop, clock, server.address, budgetSettings(server),
-               [this] { dispatcher.startOver(); })
-    { }
-
-    static ConnectionBudget::Settings budgetSettings(const BackendServer &server)
-    {
-        ConnectionBudget::Settings budget;
-        budget.connections = server.connections;
-        budget.slots = server.slots;
-        budget.connectionCost = server.connectionCost;
-        return budget;
-    }
-
-    ServiceName service;
-    BackendServer description;
-    BackendDispatcher dispatcher;
-    BackendConnectionPool pool;
-    std::unordered_map<DispatchToken, OwnedSubrequest> subrequests;
-    /// Until when its reply's word that it is leaving is believed.
-    SteadyTime leavingUntil {};
-};
-
 } // namespace
 
 struct Owner::State
@@ -201,7 +144,7 @@
                 this->dispatch(backend, dispatch->token);
             } else if (const auto *refuse = std::get_if<BackendDispatcher::Refuse>(&action)) {
                 const OwnedSubrequest subrequest = remove(backend, refuse->token);
-                send(subrequest, failureReply(subrequest, refuse->reason), &backend);
+                send(subrequest, subrequest.failure(refuse->reason), &backend);
             } else if (const auto *stop = std::get_if<BackendDispatcher::CancelRunning>(&action)) {
                 cancelRunning(backend, stop->token);
             }
@@ -247,7 +190,7 @@
         const SteadyTime now = clock->now();
         const Subreply result = answer
             ? BackendCall::readReply(*subrequest.batch, subrequest.item, *answer)
-            : failureReply(subrequest, reason);
+            : subrequest.failure(reason);
         BackendDispatcher::Outcome outcome;
         outcome.code = result.code;
         outcome.serviceTime = now - subrequest.sent.value_or(now);
@@ -354,7 +297,7 @@
         OwnedSubrequest subrequest {shared, item, deadline, {}, false};
         const BackendServer *server = m_state->describe(batch.service, item.backendServer);
         if (const auto refused = m_state->refusal(batch.service, server)) {
-            m_state->send(subrequest, failureReply(subrequest, *refused), nullptr);
+            m_state->send(subrequest, subrequest.failure(*refused), nullptr);
         } else {
             m_state->add(m_state->backendFor(batch, *server), std::move(subrequest));
         }
--- a/src/Pimentoward/Process/ControlTask.cpp
+++ b/src/Pimentoward/Process/ControlTask.cpp
@@ -8,6 +8,7 @@
 #include "Pimentoward/Process/ControlTaskServices.h"
 #include "Pimentoward/Process/HttpStore.h"
 #include "Pimentoward/Process/Membership.h"
+#include "Pimentoward/Process/MembershipDump.h"
 #include "Pimentoward/Process/Metrics.h"
 #include "Pimentoward/Process/OperatorApi.h"
 #include "Pimentoward/Process/ReleasedServers.h"
@@ -318,51 +319,16 @@
         hooks.publish(std::move(view));
     }
 
-    nlohmann::json membersDump() const
-    {
-        const SteadyTime now = clock.now();
-        const auto millisSince = [now](SteadyTime time) -> nlohmann::json {
-            if (time == SteadyTime {}) {
-                return nullptr;
-            }
-            return std::chrono::duration_cast<std::chrono::milliseconds>(now - time).count();
-        };
-        nlohmann::json list = nlohmann::json::array();
-        for (const auto &[id, member] : membership.list().record().members) {
-            nlohmann::json entry {{"id", id},
-                                  {"host", member.host},
-                                  {"failureDomain", member.failureDomain},
-                                  {"alive", membership.peers().isAlive(id)}};
-            if (const auto *peer = membership.peers().find(id)) {
-                entry["epoch"] = peer->epoch;
-                entry["settingsRevision"] = peer->settingsRevision;
-                entry["leaving"] = peer->leaving;
-                entry["owned"] = peer->owned.size();
-                entry["heardMillisAgo"] = millisSince(peer->heardAt);
-                entry["echoMillisAgo"] = millisSince(membership.contact().lastEcho(id));
-            }
-            list.push_back(std::move(entry));
-        }
-        return list;
-    }
-
     nlohmann::json ownDump() const
     {
-        const SteadyTime now = clock.now();
-        return {{"self", settings.self.id},
-                {"epoch", membership.list().epoch()},
-                {"ready", membership.isReady()},
-                {"leaving", membership.isLeaving()},
-                {"contact", now < membership.contactUntil(now)},
-                {"owned", membership.ownedUntil(now).size()},
-                {"unowned", membership.unownedCount(now)},
-                {"granted", membership.grants().grantedCount(now)},
-                {"members", membersDump()},
-                {"settingsRevision", documents->revision},
-                {"storeCalls", store.calls()},
-                {"controlBytesSent", hub.bytesSent()},
-                {"controlBytesReceived", hub.bytesReceived()},
-                {"badControlMessages", badMessages}};
+        nlohmann::json dump = membershipDump(membership, clock.now());
+        dump["self"] = settings.self.id;
+        dump["settingsRevision"] = documents->revision;
+        dump["storeCalls"] = store.calls();
+        dump["controlBytesSent"] = hub.bytesSent();
+        dump["controlBytesReceived"] = hub.bytesReceived();
+        dump["badControlMessages"] = badMessages;
+        return dump;
     }
 
     /// Runs on the control task; the answer comes back to it.
--- a/src/Pimentoward/Request/Coordinator.cpp
+++ b/src/Pimentoward/Request/Coordinator.cpp
@@ -259,14 +259,7 @@
     static void addUnsent(const SubrequestBatch &batch, std::vector<Subreply> &replies)
     {
         for (const SubrequestItem &item : batch.items) {
-            Subreply reply;
-            reply.requestId = batch.requestId;
-            reply.number = item.number;
-            reply.shard = item.shard;
-            reply.backendServer = item.backendServer;
-            reply.version = batch.version;
-            reply.code = ResultCode::PeerUnreachable;
-            replies.push_back(std::move(reply));
+            replies.push_back(replyTo(batch, item, {ResultCode::PeerUnreachable, {}}));
         }
     }
 
--- a/src/Pimentoward/Request/Messages.cpp
+++ b/src/Pimentoward/Request/Messages.cpp
@@ -230,6 +230,19 @@
 
 } // namespace
 
+Subreply replyTo(const SubrequestBatch &batch, const SubrequestItem &item, const Reason &reason)
+{
+    Subreply reply;
+    reply.requestId = batch.requestId;
+    reply.number = item.number;
+    reply.shard = item.shard;
+    reply.backendServer = item.backendServer;
+    reply.version = batch.version;
+    reply.code = reason.code;
+    reply.detail = reason.text;
+    return reply;
+}
+
 std::string encodePeerMessage(const PeerMessage &message)
 {
     const Json json = std::visit([](const auto &value) { return toJson(value); }, message);
--- a/src/Pimentoward/Request/Messages.h
+++ b/src/Pimentoward/Request/Messages.h
@@ -76,6 +76,9 @@
     LoadReport load;
 };
 
+/// The reply to one subrequest of a batch, without a body; `reason` says how it ended.
+Subreply replyTo(const SubrequestBatch &batch, const SubrequestItem &item, const Reason &reason);
+
 /// A message between the query tasks of two VMs.
 using PeerMessage = std::variant<SubrequestBatch, SubrequestCancel, Subreply, ClaimRequest,
                                  ClaimReply, ClaimSettlement, ClaimSettled>;
--- a/src/Pimentoward/Request/OrderCoordinator.cpp
+++ b/src/Pimentoward/Request/OrderCoordinator.cpp
@@ -148,14 +148,7 @@
         if (owner != view->owners.end() && hooks.sendBatch(owner->second, batch)) {
             return;
         }
-        Subreply reply;
-        reply.requestId = id;
-        reply.number = item.number;
-        reply.shard = item.shard;
-        reply.backendServer = item.backendServer;
-        reply.version = plan.version;
-        reply.code = ResultCode::PeerUnreachable;
-        onSubreply(reply);
+        onSubreply(replyTo(batch, item, {ResultCode::PeerUnreachable, {}}));
     }
 
     void sendSettlements()
