Refuse times and durations in messages that a clock cannot hold

Change: WallClockCodec decodes civil times within half of the clock's range; durations in peer messages are 0 to 24 h; a batch sent a moment late says 0 in place of a negative time. Ruled out: clamping; a wrong time in a claim must not pass as a right one.

--- a/src/Pimentoward/Process/ClaimRecord.cpp
+++ b/src/Pimentoward/Process/ClaimRecord.cpp
@@ -1,5 +1,7 @@
 #include "Pimentoward/Process/ClaimRecord.h"
 
+#include "Pimentoward/Core/WallClockCodec.h"
+
 #include <nlohmann/json.hpp>
 
 namespace pimentoward {
@@ -8,9 +10,13 @@
 
 using Json = nlohmann::json;
 
-std::int64_t toMilliseconds(WallTime time)
+WallTime readTime(const Json &json)
 {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch()).count();
+    const auto time = WallClockCodec::decode(json.get<std::int64_t>());
+    if (!time) {
+        throw Json::other_error::create(0, "time out of range", &json);
+    }
+    return *time;
 }
 
 } // namespace
@@ -27,7 +33,7 @@
             ClaimEntry entry;
             entry.token = item.at(0).get<std::string>();
             entry.contentHash = item.at(1).get<std::uint64_t>();
-            entry.expiry = WallTime(std::chrono::milliseconds(item.at(2).get<std::int64_t>()));
+            entry.expiry = readTime(item.at(2));
             entry.isSettled = item.at(3).get<bool>();
             entry.code = resultCodeFromNumber(item.at(4).get<std::uint64_t>());
             entry.body = item.at(5).get<std::string>();
@@ -44,8 +50,9 @@
 {
     Json json = Json::object();
     for (const auto &[name, entry] : entries) {
-        json[name] = Json::array({entry.token, entry.contentHash, toMilliseconds(entry.expiry),
-                                  entry.isSettled, static_cast<unsigned>(entry.code), entry.body});
+        json[name]
+            = Json::array({entry.token, entry.contentHash, WallClockCodec::encode(entry.expiry),
+                           entry.isSettled, static_cast<unsigned>(entry.code), entry.body});
     }
     std::string bytes;
     Json::to_cbor(json, bytes);
--- a/src/Pimentoward/Request/Messages.cpp
+++ b/src/Pimentoward/Request/Messages.cpp
@@ -1,7 +1,11 @@
 #include "Pimentoward/Request/Messages.h"
 
+#include "Pimentoward/Core/WallClockCodec.h"
+
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace pimentoward {
 
 namespace {
@@ -31,6 +35,27 @@
     return {bytes.begin(), bytes.end()};
 }
 
+/// A duration in the unit `Unit`, from zero to a day: what is added to times must not overflow.
+template <typename Unit>
+Unit readDuration(const Json &json)
+{
+    constexpr Unit longest = std::chrono::hours(24);
+    const auto count = json.get<std::int64_t>();
+    if (count < 0 || count > longest.count()) {
+        throw Json::other_error::create(0, "duration out of range", &json);
+    }
+    return Unit(count);
+}
+
+WallTime readWallTime(const Json &json)
+{
+    const auto time = WallClockCodec::decode(json.get<std::int64_t>());
+    if (!time) {
+        throw Json::other_error::create(0, "time out of range", &json);
+    }
+    return *time;
+}
+
 RequestClass readRequestClass(const Json &json)
 {
     const auto number = json.get<std::uint64_t>();
@@ -54,7 +79,7 @@
             {"s", batch.service},
             {"v", batch.version},
             {"c", static_cast<unsigned>(batch.requestClass)},
-            {"l", batch.timeLeft.count()},
+            {"l", std::max<std::int64_t>(batch.timeLeft.count(), 0)},
             {"a", batch.atMostOnce},
             {"b", binary(batch.body)},
             {"i", std::move(items)}};
@@ -87,16 +112,14 @@
 
 Json toJson(const ClaimRequest &request)
 {
-    const auto expiry
-        = std::chrono::duration_cast<std::chrono::milliseconds>(request.expiry.time_since_epoch());
     return {{"t", static_cast<int>(MessageType::ClaimRequest)},
             {"k", request.token},
             {"o", request.coordinator},
             {"s", request.service},
             {"i", request.key},
             {"h", request.contentHash},
-            {"e", expiry.count()},
-            {"l", request.timeLeft.count()}};
+            {"e", WallClockCodec::encode(request.expiry)},
+            {"l", std::max<std::int64_t>(request.timeLeft.count(), 0)}};
 }
 
 Json toJson(const ClaimReply &reply)
@@ -133,8 +156,8 @@
     request.service = json.at("s").get<std::string>();
     request.key = json.at("i").get<std::string>();
     request.contentHash = json.at("h").get<std::uint64_t>();
-    request.expiry = WallTime(std::chrono::milliseconds(json.at("e").get<std::int64_t>()));
-    request.timeLeft = std::chrono::milliseconds(json.at("l").get<std::int64_t>());
+    request.expiry = readWallTime(json.at("e"));
+    request.timeLeft = readDuration<std::chrono::milliseconds>(json.at("l"));
     return request;
 }
 
@@ -169,7 +192,7 @@
     batch.service = json.at("s").get<std::string>();
     batch.version = json.at("v").get<std::uint64_t>();
     batch.requestClass = readRequestClass(json.at("c"));
-    batch.timeLeft = std::chrono::milliseconds(json.at("l").get<std::int64_t>());
+    batch.timeLeft = readDuration<std::chrono::milliseconds>(json.at("l"));
     batch.atMostOnce = json.at("a").get<bool>();
     batch.body = readBinary(json.at("b"));
     const Json &items = json.at("i");
@@ -202,7 +225,7 @@
     reply.body = readBinary(json.at("b"));
     reply.load.queueLength = json.at("q").get<std::uint32_t>();
     reply.load.limit = json.at("m").get<std::uint32_t>();
-    reply.load.serviceTime = std::chrono::microseconds(json.at("u").get<std::int64_t>());
+    reply.load.serviceTime = readDuration<std::chrono::microseconds>(json.at("u"));
     reply.load.cold = json.at("w").get<bool>();
     return reply;
 }
--- a/tests/Request/MessagesTest.cpp
+++ b/tests/Request/MessagesTest.cpp
@@ -61,3 +61,25 @@
     }
     CHECK(refused > inputs / 4);
 }
+
+TEST_CASE("Times and durations outside their range are refused")
+{
+    const auto isRefused = [](const PeerMessage &message) {
+        Reason reason;
+        return !decodePeerMessage(encodePeerMessage(message), reason)
+            && reason.code == ResultCode::InvalidMessage;
+    };
+    ClaimRequest claim;
+    claim.timeLeft = std::chrono::milliseconds(100);
+    CHECK_FALSE(isRefused(claim));
+    claim.expiry = WallTime(std::chrono::hours(24 * 365 * 200));
+    CHECK(isRefused(claim));
+    claim.expiry = WallTime(std::chrono::milliseconds(-1));
+    CHECK(isRefused(claim));
+    SubrequestBatch batch = sampleBatch();
+    batch.timeLeft = std::chrono::hours(25);
+    CHECK(isRefused(batch));
+    // A batch that leaves a moment late says "no time left"; it is not lost.
+    batch.timeLeft = std::chrono::milliseconds(-1);
+    CHECK_FALSE(isRefused(batch));
+}
