No timers where nothing waits

Change: both arm their timers only while something waits. Ruled out: longer periods (deadlines would be late); per-server timers (more arming on the hot path).

--- a/src/Pimentoward/Connection/Owner.cpp
+++ b/src/Pimentoward/Connection/Owner.cpp
@@ -42,6 +42,7 @@
     std::unordered_map<std::string, Place> places;
     DispatchToken nextToken = 1;
     std::unique_ptr<Timer> timer;
+    bool isTimerArmed = false;
     log4cplus::Logger log = Log::part("owner");
 
     const BackendServer *describe(const ServiceName &service, const BackendServerId &id) const
@@ -137,8 +138,18 @@
         return subrequest;
     }
 
+    /// An idle owner has no timer.
+    void armTimer(const OwnedBackend &backend)
+    {
+        if (!isTimerArmed && backend.dispatcher.nextTimer()) {
+            isTimerArmed = true;
+            timer->startOnce(timerPeriod);
+        }
+    }
+
     void apply(OwnedBackend &backend, const BackendDispatcher::Actions &actions)
     {
+        armTimer(backend);
         for (const BackendDispatcher::Action &action : actions) {
             if (const auto *dispatch = std::get_if<BackendDispatcher::Dispatch>(&action)) {
                 this->dispatch(backend, dispatch->token);
@@ -258,11 +269,13 @@
 
     void onTimer()
     {
+        isTimerArmed = false;
         const SteadyTime now = clock->now();
         for (auto &[id, backend] : backends) {
             if (const auto due = backend->dispatcher.nextTimer(); due && *due <= now) {
                 apply(*backend, backend->dispatcher.onTimer(now));
             }
+            armTimer(*backend);
         }
     }
 };
@@ -274,7 +287,6 @@
     m_state->clock = &clock;
     m_state->reply = std::move(reply);
     m_state->timer = std::make_unique<Timer>(loop, [state = m_state.get()] { state->onTimer(); });
-    m_state->timer->startRepeating(timerPeriod);
 }
 
 Owner::~Owner() = default;
--- a/src/Pimentoward/Request/OrderCoordinator.cpp
+++ b/src/Pimentoward/Request/OrderCoordinator.cpp
@@ -188,6 +188,14 @@
         return true;
     }
 
+    /// A VM without orders has no timer.
+    void armTimer()
+    {
+        if (!orders.empty() || !settlements.empty()) {
+            timer->startOnce(timerPeriod);
+        }
+    }
+
     void onTimer()
     {
         const SteadyTime now = clock->now();
@@ -207,6 +215,7 @@
             apply(id, orders.at(id).order.onTimer(now));
         }
         sendSettlements();
+        armTimer();
     }
 };
 
@@ -219,7 +228,6 @@
     m_state->requestPrefix = std::move(requestPrefix) + "-order";
     m_state->hooks = std::move(hooks);
     m_state->timer = std::make_unique<Timer>(loop, [state = m_state.get()] { state->onTimer(); });
-    m_state->timer->startRepeating(timerPeriod);
 }
 
 OrderCoordinator::~OrderCoordinator() = default;
@@ -245,6 +253,7 @@
     const SteadyTime deadline = plan->deadline;
     const auto [entry, inserted] = m_state->orders.emplace(
         id, State::RunningOrder {Order(std::move(*plan), {}), std::move(answer), deadline});
+    m_state->armTimer();
     m_state->apply(id, entry->second.order.start(m_state->clock->now()));
 }
 
