One reader for civil times in claims and peer messages

Change: WallClockCodec::read serves both. Ruled out: ServiceCatalog and SettingsChangeRecord, whose bounds differ on purpose (releases before 1970; clamped history times). Conclusion: behaviour is unchanged.

--- a/src/Pimentoward/Core/WallClockCodec.cpp
+++ b/src/Pimentoward/Core/WallClockCodec.cpp
@@ -1,5 +1,7 @@
 #include "Pimentoward/Core/WallClockCodec.h"
 
+#include <nlohmann/json.hpp>
+
 namespace pimentoward {
 
 std::optional<WallTime> WallClockCodec::decode(std::int64_t milliseconds)
@@ -14,6 +16,15 @@
     return WallTime(std::chrono::milliseconds(milliseconds));
 }
 
+WallTime WallClockCodec::read(const nlohmann::json &json)
+{
+    const auto time = decode(json.get<std::int64_t>());
+    if (!time) {
+        throw nlohmann::json::other_error::create(0, "time out of range", &json);
+    }
+    return *time;
+}
+
 std::int64_t WallClockCodec::encode(WallTime time)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch()).count();
--- a/src/Pimentoward/Process/ClaimRecord.cpp
+++ b/src/Pimentoward/Process/ClaimRecord.cpp
@@ -10,15 +10,6 @@
 
 using Json = nlohmann::json;
 
-WallTime readTime(const Json &json)
-{
-    const auto time = WallClockCodec::decode(json.get<std::int64_t>());
-    if (!time) {
-        throw Json::other_error::create(0, "time out of range", &json);
-    }
-    return *time;
-}
-
 } // namespace
 
 std::optional<ClaimRecord> ClaimRecord::decode(const std::string &bytes, Reason &reason)
@@ -33,7 +24,7 @@
             ClaimEntry entry;
             entry.token = item.at(0).get<std::string>();
             entry.contentHash = item.at(1).get<std::uint64_t>();
-            entry.expiry = readTime(item.at(2));
+            entry.expiry = WallClockCodec::read(item.at(2));
             entry.isSettled = item.at(3).get<bool>();
             entry.code = resultCodeFromNumber(item.at(4).get<std::uint64_t>());
             entry.body = item.at(5).get<std::string>();
--- a/src/Pimentoward/Request/Messages.cpp
+++ b/src/Pimentoward/Request/Messages.cpp
@@ -47,15 +47,6 @@
     return Unit(count);
 }
 
-WallTime readWallTime(const Json &json)
-{
-    const auto time = WallClockCodec::decode(json.get<std::int64_t>());
-    if (!time) {
-        throw Json::other_error::create(0, "time out of range", &json);
-    }
-    return *time;
-}
-
 RequestClass readRequestClass(const Json &json)
 {
     const auto number = json.get<std::uint64_t>();
@@ -156,7 +147,7 @@
     request.service = json.at("s").get<std::string>();
     request.key = json.at("i").get<std::string>();
     request.contentHash = json.at("h").get<std::uint64_t>();
-    request.expiry = readWallTime(json.at("e"));
+    request.expiry = WallClockCodec::read(json.at("e"));
     request.timeLeft = readDuration<std::chrono::milliseconds>(json.at("l"));
     return request;
 }
