--- /dev/null
+++ b/cmake/TierSources.cmake
@@ -0,0 +1,48 @@
+# The part of the library that a VM on the platform runs; deploy/system.toml builds only this.
+set(TIER_SOURCES
+  Core/Address.cpp
+  Core/BoundedAppender.cpp
+  Core/CallPacer.cpp
+  Core/Log.cpp
+  Core/ResultCode.cpp
+  Connection/BackendConnection.cpp
+  Connection/BackendFleet.cpp
+  Connection/BackendHealth.cpp
+  Connection/BackendLink.cpp
+  Connection/CallerConnection.cpp
+  Connection/CallerServer.cpp
+  Connection/HttpClient.cpp
+  Connection/HttpConnection.cpp
+  Connection/HttpHeaders.cpp
+  Connection/HttpMessage.cpp
+  Connection/HttpReader.cpp
+  Connection/HttpRequest.cpp
+  Connection/HttpServer.cpp
+  Connection/SocketOptions.cpp
+  Process/Discovery.cpp
+  Process/Drain.cpp
+  Process/Metrics.cpp
+  Process/MetricsDistribution.cpp
+  Process/PreciseLoop.cpp
+  Process/Registration.cpp
+  Process/ServingTask.cpp
+  Process/SharedMembers.cpp
+  Process/SignalWatch.cpp
+  Process/StoreMirror.cpp
+  Process/Task.cpp
+  Process/TierProcess.cpp
+  Process/Timer.cpp
+  Request/AnswerTiming.cpp
+  Request/BackendChooser.cpp
+  Request/Forwarder.cpp
+  Request/Gather.cpp
+  Request/LatencyEstimate.cpp
+  Request/RecordMerge.cpp
+  Request/ReplyJudge.cpp
+  Request/RouteLatencies.cpp
+  Request/SharedRetryBudget.cpp
+  Request/WeightedTurns.cpp
+  Version/BackendDirectory.cpp
+  Version/RouteTable.cpp
+)
+list(TRANSFORM TIER_SOURCES PREPEND src/Pimentoward/)
--- /dev/null
+++ b/src/Pimentoward/Connection/BackendConnection.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "Pimentoward/Connection/HttpReader.h"
+#include "Pimentoward/Core/Address.h"
+#include "Pimentoward/Core/Types.h"
+#include "Pimentoward/Process/Timer.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+
+struct bufferevent;
+struct event_base;
+
+namespace pimentoward {
+
+/// How one exchange with a backend server ended.
+enum class ExchangeEnd {
+    /// A whole reply to this request came.
+    Replied,
+    /// No byte of the request has left this process.
+    NotSent,
+    /// The connection broke, or bytes came that are no reply: the request may have run.
+    Broken
+};
+
+/// One connection to a backend server that carries one request at a time. Opens at once.
+class BackendConnection
+{
+public:
+    /// What is to be sent.
+    struct Exchange
+    {
+        /// The request as it goes on the wire.
+        std::string bytes;
+        std::string method;
+        /// The reply names it in the header `requestIdHeader`; a reply to another request is
+        /// dropped.
+        RequestId requestId;
+        std::string_view requestIdHeader;
+    };
+    using DoneHook = std::function<void(ExchangeEnd, HttpReplyMessage)>;
+    /// Runs once the connection is of no further use while no exchange runs on it.
+    using ClosedHook = std::function<void(BackendConnection &)>;
+
+    BackendConnection(event_base *loop, const Address &address, ClosedHook closed);
+    ~BackendConnection();
+    BackendConnection(const BackendConnection &) = delete;
+    BackendConnection &operator=(const BackendConnection &) = delete;
+
+    /// Sends a request. Must not be busy. `done` runs from the loop, never inside this function.
+    void send(const Exchange &exchange, DoneHook done);
+    bool isBusy() const { return m_done != nullptr; }
+    /// False where no further request may be sent on it.
+    bool isReusable() const { return !m_isSpent; }
+    /// Replies dropped since they belong to other requests.
+    unsigned strayReplies() const { return m_strayReplies; }
+
+private:
+    void onReadable();
+    void onEvent(short what);
+    void readReplies();
+    void onReply(HttpReplyMessage reply);
+    void finish(ExchangeEnd end, HttpReplyMessage reply);
+    void onTimer();
+    void noteLifetime(const HttpReplyMessage &reply);
+
+    bufferevent *m_stream = nullptr;
+    HttpReader m_reader;
+    Timer m_timer;
+    ClosedHook m_closed;
+    DoneHook m_done;
+    RequestId m_requestId;
+    std::string_view m_requestIdHeader;
+    Duration m_idleLimit;
+    unsigned m_strayReplies = 0;
+    bool m_isConnected = false;
+    bool m_isSpent = false;
+};
+
+} // namespace pimentoward
--- /dev/null
+++ b/src/Pimentoward/Connection/BackendFleet.cpp
@@ -0,0 +1,130 @@
+#include "Pimentoward/Connection/BackendFleet.h"
+
+#include <algorithm>
+#include <set>
+
+namespace pimentoward {
+
+namespace {
+
+/// True where both records speak of the same run of the same backend server.
+bool isSameRun(const BackendRecord &a, const BackendRecord &b)
+{
+    return a.address == b.address && a.incarnation == b.incarnation && a.service == b.service;
+}
+
+} // namespace
+
+BackendFleet::BackendFleet(event_base *loop, const Settings &settings, BackendLink::RoomHook onRoom)
+    : m_loop(loop)
+    , m_settings(settings)
+    , m_onRoom(std::move(onRoom))
+{ }
+
+unsigned BackendFleet::shareOf(const BackendRecord &record, const RouteTable &routes,
+                               std::size_t members) const
+{
+    const ServiceRules *rules = routes.service(record.service);
+    if (rules == nullptr || rules->maxConnections == 0) {
+        return m_settings.defaultConnections;
+    }
+    const double used = m_settings.usedShare * rules->maxConnections;
+    const auto share
+        = static_cast<unsigned>(used / static_cast<double>(std::max<std::size_t>(1, members)));
+    return std::clamp(share, 1U, std::max(1U, m_settings.connectionsPerSlot * record.slots));
+}
+
+void BackendFleet::update(const BackendListPtr &list, const RouteTablePtr &routes,
+                          std::size_t members)
+{
+    removeMissing(*list);
+    m_byService.clear();
+    for (const auto &[service, records] : list->byService) {
+        std::vector<BackendLink *> &links = m_byService[service];
+        for (const BackendRecord &record : records) {
+            std::unique_ptr<BackendLink> &link = m_links[record.id];
+            if (link && !isSameRun(link->record(), record)) {
+                takeOutOfService(std::move(link));
+            }
+            if (!link) {
+                link = std::make_unique<BackendLink>(m_loop, record, m_onRoom);
+            }
+            link->changeRecord(record);
+            link->changeShare(shareOf(record, *routes, members));
+            links.push_back(link.get());
+        }
+    }
+}
+
+void BackendFleet::removeMissing(const BackendList &list)
+{
+    std::set<BackendServerId> listed;
+    for (const auto &[service, records] : list.byService) {
+        for (const BackendRecord &record : records) {
+            listed.insert(record.id);
+        }
+    }
+    for (auto it = m_links.begin(); it != m_links.end();) {
+        if (listed.count(it->first) > 0) {
+            ++it;
+            continue;
+        }
+        takeOutOfService(std::move(it->second));
+        it = m_links.erase(it);
+    }
+}
+
+void BackendFleet::takeOutOfService(std::unique_ptr<BackendLink> link)
+{
+    link->takeOutOfService();
+    m_ending.push_back(std::move(link));
+}
+
+const std::vector<BackendLink *> &BackendFleet::linksOf(const ServiceName &service) const
+{
+    static const std::vector<BackendLink *> none;
+    const auto found = m_byService.find(service);
+    return found == m_byService.end() ? none : found->second;
+}
+
+BackendLink *BackendFleet::link(const BackendServerId &id) const
+{
+    const auto found = m_links.find(id);
+    return found == m_links.end() ? nullptr : found->second.get();
+}
+
+void BackendFleet::removeEnded()
+{
+    const auto ended = std::remove_if(m_ending.begin(), m_ending.end(), [this](const auto &link) {
+        const bool isEnded = link->connections() == 0;
+        m_openedByEnded += isEnded ? link->opened() : 0;
+        return isEnded;
+    });
+    m_ending.erase(ended, m_ending.end());
+}
+
+std::size_t BackendFleet::connections() const
+{
+    std::size_t count = 0;
+    for (const auto &[id, link] : m_links) {
+        count += link->connections();
+    }
+    for (const auto &link : m_ending) {
+        count += link->connections();
+    }
+    return count;
+}
+
+std::uint64_t BackendFleet::connectionsOpened() const
+{
+    std::uint64_t count = m_openedByEnded;
+    for (const auto &[id, link] : m_links) {
+        count += link->opened();
+    }
+    for (const auto &link : m_ending) {
+        count += link->opened();
+    }
+    return count;
+}
+
+} // namespace pimentoward
--- /dev/null
+++ b/src/Pimentoward/Connection/BackendFleet.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "Pimentoward/Connection/BackendLink.h"
+#include "Pimentoward/Version/BackendDirectory.h"
+#include "Pimentoward/Version/RouteTable.h"
+
+#include <functional>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace pimentoward {
+
+/// The links of this VM to all backend servers in service. Belongs to one task.
+class BackendFleet
+{
+public:
+    /// How the connections that a backend server accepts are shared among VMs.
+    struct Settings
+    {
+        /// Part of the accepted connections that is used; the rest covers VMs that have just come
+        /// and connections whose end the backend server has not noticed.
+        double usedShare = 0.8;
+        /// Most connections of one VM to one backend server, as a multiple of its slots.
+        unsigned connectionsPerSlot = 2;
+        /// The same for a backend server whose limit is not known.
+        unsigned defaultConnections = 2;
+    };
+
+    BackendFleet(event_base *loop, const Settings &settings, BackendLink::RoomHook onRoom);
+
+    /// Takes a changed list, settings or number of VMs. Links to what is no longer in service get
+    /// nothing new.
+    void update(const BackendListPtr &list, const RouteTablePtr &routes, std::size_t members);
+    /// Links to the backend servers of `service`.
+    const std::vector<BackendLink *> &linksOf(const ServiceName &service) const;
+    /// The link to one backend server in service; null where there is none.
+    BackendLink *link(const BackendServerId &id) const;
+    /// Drops links out of service whose last exchange has ended.
+    void removeEnded();
+    std::size_t size() const { return m_links.size(); }
+    std::size_t connections() const;
+    std::uint64_t connectionsOpened() const;
+
+private:
+    unsigned shareOf(const BackendRecord &record, const RouteTable &routes,
+                     std::size_t members) const;
+    void takeOutOfService(std::unique_ptr<BackendLink> link);
+    void removeMissing(const BackendList &list);
+
+    event_base *m_loop;
+    Settings m_settings;
+    BackendLink::RoomHook m_onRoom;
+    std::unordered_map<BackendServerId, std::unique_ptr<BackendLink>> m_links;
+    std::unordered_map<ServiceName, std::vector<BackendLink *>> m_byService;
+    std::vector<std::unique_ptr<BackendLink>> m_ending;
+    std::uint64_t m_openedByEnded = 0;
+};
+
+} // namespace pimentoward
--- /dev/null
+++ b/src/Pimentoward/Connection/BackendLink.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "Pimentoward/Connection/BackendConnection.h"
+#include "Pimentoward/Connection/BackendHealth.h"
+#include "Pimentoward/Version/BackendRecord.h"
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace pimentoward {
+
+/// All connections of this VM to one backend server, within its share of those that the backend
+/// server accepts. Belongs to one task.
+class BackendLink
+{
+public:
+    /// Runs each time that a connection has become free.
+    using RoomHook = std::function<void(BackendLink &)>;
+    using DoneHook = BackendConnection::DoneHook;
+
+    BackendLink(event_base *loop, BackendRecord record, RoomHook onRoom);
+
+    const BackendRecord &record() const { return m_record; }
+    void changeRecord(BackendRecord record) { m_record = std::move(record); }
+    BackendHealth &health() { return m_health; }
+    const BackendHealth &health() const { return m_health; }
+
+    /// Connections that may stand at a time.
+    void changeShare(unsigned connections) { m_share = connections; }
+    /// True where one more request can be sent now.
+    bool hasRoom() const;
+    /// Sends a request; needs room. The handle serves cancel().
+    BackendConnection *send(const BackendConnection::Exchange &exchange, DoneHook done);
+    /// Gives the exchange up; the backend server sees the connection close. No hook runs.
+    void cancel(BackendConnection *connection);
+    /// False once the backend server is no longer in service: it gets nothing new.
+    bool isInService() const { return m_isInService; }
+    /// Nothing new is sent any more; free connections are closed.
+    void takeOutOfService();
+    std::size_t connections() const { return m_connections.size(); }
+    /// Connections opened so far.
+    std::uint64_t opened() const { return m_opened; }
+
+private:
+    using Connections = std::vector<std::unique_ptr<BackendConnection>>;
+
+    BackendConnection *freeConnection();
+    Connections::iterator find(const BackendConnection &connection);
+    void remove(BackendConnection &connection);
+    void afterExchange(BackendConnection &connection);
+
+    event_base *m_loop;
+    BackendRecord m_record;
+    RoomHook m_onRoom;
+    BackendHealth m_health;
+    Connections m_connections;
+    /// Connections that end once their own hook has returned.
+    Connections m_ended;
+    Timer m_sweep;
+    unsigned m_share = 1;
+    std::uint64_t m_opened = 0;
+    bool m_isInService = true;
+};
+
+} // namespace pimentoward
--- /dev/null
+++ b/src/Pimentoward/Connection/CallerConnection.cpp
@@ -0,0 +1,196 @@
+#include "Pimentoward/Connection/CallerConnection.h"
+
+#include "Pimentoward/Connection/SocketOptions.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <sys/socket.h>
+
+namespace pimentoward {
+
+namespace {
+
+constexpr int badRequest = 400;
+constexpr int requestTimeout = 408;
+constexpr int contentTooLarge = 413;
+constexpr int headersTooLarge = 431;
+/// Bytes of further requests that are kept while one is being served.
+constexpr std::size_t readAheadBytes = 65'536;
+/// How long a caller may take to fetch the last reply of a connection and to close its side.
+constexpr std::chrono::seconds lingerTime {5};
+
+HttpReader::Limits readerLimits(const CallerLimits &limits)
+{
+    return {limits.headBytes, limits.bodyBytes};
+}
+
+} // namespace
+
+CallerConnection::CallerConnection(event_base *loop, int socket, const CallerLimits &limits,
+                                   const Hooks &hooks)
+    : m_limits(limits)
+    , m_hooks(hooks)
+    , m_reader(HttpReader::Direction::Requests, readerLimits(limits))
+    , m_timer(loop, [this] { onTimeout(); })
+{
+    setLowDelay(socket);
+    setUserTimeout(socket, callerUserTimeout);
+    m_stream = bufferevent_socket_new(loop, socket, BEV_OPT_CLOSE_ON_FREE);
+    const auto onRead
+        = [](bufferevent *, void *self) { static_cast<CallerConnection *>(self)->onReadable(); };
+    const auto onWrite
+        = [](bufferevent *, void *self) { static_cast<CallerConnection *>(self)->onWritten(); };
+    const auto onEvent = [](bufferevent *, short, void *self) {
+        static_cast<CallerConnection *>(self)->onEnded();
+    };
+    bufferevent_setcb(m_stream, onRead, onWrite, onEvent, this);
+    bufferevent_enable(m_stream, EV_READ | EV_WRITE);
+    startIdleTimer();
+}
+
+CallerConnection::~CallerConnection()
+{
+    bufferevent_free(m_stream);
+}
+
+void CallerConnection::startIdleTimer()
+{
+    m_timer.startOnce(m_limits.idleTimeout);
+}
+
+void CallerConnection::onReadable()
+{
+    if (m_isClosing) {
+        evbuffer *input = bufferevent_get_input(m_stream);
+        evbuffer_drain(input, evbuffer_get_length(input));
+        return;
+    }
+    if (!m_isServing) {
+        serveNext();
+    }
+}
+
+void CallerConnection::serveNext()
+{
+    evbuffer *input = bufferevent_get_input(m_stream);
+    while (evbuffer_get_length(input) > 0) {
+        const bool hadBegun = m_reader.hasBegun();
+        evbuffer_iovec piece {};
+        evbuffer_peek(input, -1, nullptr, &piece, 1);
+        std::size_t used = 0;
+        const auto progress
+            = m_reader.read({static_cast<const char *>(piece.iov_base), piece.iov_len}, used);
+        evbuffer_drain(input, used);
+        if (!hadBegun && m_reader.hasBegun()) {
+            m_timer.startOnce(m_limits.headTimeout);
+        }
+        switch (progress) {
+        case HttpReader::Progress::Unfinished:
+            break;
+        case HttpReader::Progress::Malformed:
+            refuse(badRequest, "malformed request");
+            return;
+        case HttpReader::Progress::HeadTooLong:
+            refuse(headersTooLarge, "request head too long");
+            return;
+        case HttpReader::Progress::BodyTooLong:
+            refuse(contentTooLarge, "request body too long");
+            return;
+        case HttpReader::Progress::Finished: {
+            m_timer.stop();
+            m_isServing = true;
+            m_saidContinue = false;
+            bufferevent_setwatermark(m_stream, EV_READ, 0, readAheadBytes);
+            Arrival arrival {m_reader.takeRequest(), std::chrono::steady_clock::now(), m_isFirst};
+            m_isFirst = false;
+            m_method = arrival.request.method;
+            m_closesAfterReply = m_closesAfterReply || !arrival.request.keepsConnection;
+            m_hooks.onRequest(*this, std::move(arrival));
+            return;
+        }
+        }
+    }
+    if (m_reader.awaitsContinue() && !m_saidContinue) {
+        m_saidContinue = true;
+        constexpr std::string_view interim = "HTTP/1.1 100 Continue\r\n\r\n";
+        bufferevent_write(m_stream, interim.data(), interim.size());
+    }
+}
+
+void CallerConnection::reply(HttpReplyMessage reply)
+{
+    reply.keepsConnection = !m_closesAfterReply;
+    const std::string bytes = serialize(reply, m_method);
+    bufferevent_write(m_stream, bytes.data(), bytes.size());
+    m_isServing = false;
+    if (m_closesAfterReply) {
+        finishClosing();
+        return;
+    }
+    bufferevent_setwatermark(m_stream, EV_READ, 0, 0);
+    startIdleTimer();
+    serveNext();
+}
+
+void CallerConnection::finishClosing()
+{
+    m_isClosing = true;
+    m_timer.startOnce(lingerTime);
+    if (evbuffer_get_length(bufferevent_get_output(m_stream)) == 0) {
+        onWritten();
+    }
+}
+
+void CallerConnection::onWritten()
+{
+    // Closing both sides at once would reset the connection where unread bytes have come, and the
+    // reply with it.
+    if (m_isClosing) {
+        shutdown(bufferevent_getfd(m_stream), SHUT_WR);
+    }
+}
+
+void CallerConnection::refuse(int status, const char *why)
+{
+    m_hooks.onRefused(status, why);
+    m_closesAfterReply = true;
+    m_method.clear();
+    HttpReplyMessage refusal;
+    refusal.status = status;
+    reply(std::move(refusal));
+}
+
+void CallerConnection::abort()
+{
+    m_isServing = false;
+    m_isClosing = true;
+    m_hooks.onClosed(*this);
+}
+
+void CallerConnection::closeIfIdle()
+{
+    if (!m_isServing && !m_reader.hasBegun() && !m_isClosing) {
+        abort();
+    }
+}
+
+void CallerConnection::onEnded()
+{
+    if (m_isServing) {
+        m_isServing = false;
+        m_hooks.onCallerGone(*this);
+    }
+    m_hooks.onClosed(*this);
+}
+
+void CallerConnection::onTimeout()
+{
+    if (!m_isClosing && m_reader.hasBegun()) {
+        refuse(requestTimeout, "request took too long to arrive");
+        return;
+    }
+    m_hooks.onClosed(*this);
+}
+
+} // namespace pimentoward
--- /dev/null
+++ b/src/Pimentoward/Connection/CallerServer.cpp
@@ -0,0 +1,95 @@
+#include "Pimentoward/Connection/CallerServer.h"
+
+#include "Pimentoward/Core/Log.h"
+
+#include <arpa/inet.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+
+#include <cerrno>
+#include <cstring>
+
+namespace pimentoward {
+
+CallerServer::CallerServer(event_base *loop, CallerConnection::Hooks hooks)
+    : m_loop(loop)
+    , m_hooks(std::move(hooks))
+{
+    m_hooks.onClosed = [this](CallerConnection &connection) { remove(connection); };
+}
+
+CallerServer::~CallerServer()
+{
+    if (m_listener != nullptr) {
+        evconnlistener_free(m_listener);
+    }
+}
+
+bool CallerServer::listen(const Address &address, Reason &reason)
+{
+    sockaddr_in local {};
+    local.sin_family = AF_INET;
+    local.sin_port = htons(address.port);
+    inet_pton(AF_INET, address.host.c_str(), &local.sin_addr);
+    const auto onAccept = [](evconnlistener *, evutil_socket_t socket, sockaddr *, int,
+                             void *self) { static_cast<CallerServer *>(self)->accept(socket); };
+    constexpr int backlog = 1024;
+    m_listener = evconnlistener_new_bind(m_loop, onAccept, this,
+                                         LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, backlog,
+                                         reinterpret_cast<const sockaddr *>(&local), sizeof(local));
+    if (m_listener == nullptr) {
+        reason = {ResultCode::InvalidSetting,
+                  "cannot listen on " + address.toString() + ": " + std::strerror(errno)};
+        return false;
+    }
+    const auto onError = [](evconnlistener *, void *) {
+        LOG4CPLUS_WARN(Log::part("callers"),
+                       "event=accept-failed error=\"" << std::strerror(errno) << "\"");
+    };
+    evconnlistener_set_error_cb(m_listener, onError);
+    return true;
+}
+
+void CallerServer::accept(int socket)
+{
+    auto connection = std::make_unique<CallerConnection>(m_loop, socket, m_limits, m_hooks);
+    CallerConnection *key = connection.get();
+    if (!m_keepsConnections) {
+        key->closeAfterReply();
+    }
+    m_connections.emplace(key, std::move(connection));
+}
+
+void CallerServer::remove(CallerConnection &connection)
+{
+    m_connections.erase(&connection);
+}
+
+std::vector<CallerConnection *> CallerServer::all() const
+{
+    std::vector<CallerConnection *> connections;
+    connections.reserve(m_connections.size());
+    for (const auto &[key, connection] : m_connections) {
+        connections.push_back(key);
+    }
+    return connections;
+}
+
+void CallerServer::closeAfterReplies()
+{
+    m_keepsConnections = false;
+    for (const auto &[key, connection] : m_connections) {
+        connection->closeAfterReply();
+    }
+}
+
+void CallerServer::closeIdle()
+{
+    // Ending a connection removes it from the map.
+    for (CallerConnection *connection : all()) {
+        connection->closeIfIdle();
+    }
+}
+
+} // namespace pimentoward
--- /dev/null
+++ b/src/Pimentoward/Connection/HttpReader.cpp
@@ -0,0 +1,228 @@
+#include "Pimentoward/Connection/HttpReader.h"
+
+#include <http_parser.h>
+
+namespace pimentoward {
+
+struct HttpReader::State
+{
+    http_parser parser {};
+    Limits limits;
+    HttpRequestMessage request;
+    HttpReplyMessage reply;
+    std::string headerName;
+    std::string headerValue;
+    std::size_t headBytes = 0;
+    Progress outcome = Progress::Unfinished;
+    bool begun = false;
+    bool headEnded = false;
+    bool isReplyToHead = false;
+    bool hasValue = false;
+
+    explicit State(Direction direction)
+    {
+        http_parser_init(&parser, direction == Direction::Requests ? HTTP_REQUEST : HTTP_RESPONSE);
+        parser.data = this;
+    }
+
+    HttpHeaders &headers() { return parser.type == HTTP_REQUEST ? request.headers : reply.headers; }
+    std::string &body() { return parser.type == HTTP_REQUEST ? request.body : reply.body; }
+
+    void endHeader()
+    {
+        if (!headerName.empty()) {
+            headers().add(headerName, headerValue);
+        }
+        headerName.clear();
+        headerValue.clear();
+        hasValue = false;
+    }
+
+    int countHead(std::size_t size)
+    {
+        headBytes += size;
+        if (limits.headBytes != 0 && headBytes > limits.headBytes) {
+            outcome = Progress::HeadTooLong;
+            return 1;
+        }
+        return 0;
+    }
+
+    /// 0 goes on, 1 expects no body; see http_parser's on_headers_complete.
+    int onHeadEnd()
+    {
+        endHeader();
+        headEnded = true;
+        if (parser.type == HTTP_RESPONSE) {
+            reply.status = parser.status_code;
+            return isReplyToHead ? 1 : 0;
+        }
+        request.method = http_method_str(static_cast<http_method>(parser.method));
+        const bool hasLength = (parser.flags & F_CONTENTLENGTH) != 0;
+        if (hasLength && limits.bodyBytes != 0 && parser.content_length > limits.bodyBytes) {
+            outcome = Progress::BodyTooLong;
+            return -1;
+        }
+        return 0;
+    }
+
+    int onBody(const char *bytes, std::size_t size)
+    {
+        if (limits.bodyBytes != 0 && body().size() + size > limits.bodyBytes) {
+            outcome = Progress::BodyTooLong;
+            return 1;
+        }
+        body().append(bytes, size);
+        return 0;
+    }
+
+    int onEnd()
+    {
+        const bool keeps = http_should_keep_alive(&parser) != 0;
+        request.keepsConnection = keeps;
+        reply.keepsConnection = keeps;
+        constexpr int firstFinalStatus = 200;
+        if (parser.type == HTTP_RESPONSE && parser.status_code < firstFinalStatus) {
+            // An interim reply; the final one follows.
+            reply = {};
+            return 0;
+        }
+        outcome = Progress::Finished;
+        // Bytes after the message belong to the next one.
+        http_parser_pause(&parser, 1);
+        return 0;
+    }
+
+    void reset()
+    {
+        request = {};
+        reply = {};
+        headBytes = 0;
+        outcome = Progress::Unfinished;
+        begun = false;
+        headEnded = false;
+    }
+};
+
+namespace {
+
+template <typename State>
+http_parser_settings makeCallbacks()
+{
+    const auto state = [](http_parser *parser) { return static_cast<State *>(parser->data); };
+    static const auto stateOf = state;
+    http_parser_settings callbacks {};
+    callbacks.on_message_begin = [](http_parser *parser) {
+        State *self = stateOf(parser);
+        self->begun = true;
+        self->headEnded = false;
+        return 0;
+    };
+    callbacks.on_url = [](http_parser *parser, const char *bytes, std::size_t size) {
+        State *self = stateOf(parser);
+        self->request.target.append(bytes, size);
+        return self->countHead(size);
+    };
+    callbacks.on_header_field = [](http_parser *parser, const char *bytes, std::size_t size) {
+        State *self = stateOf(parser);
+        if (self->hasValue) {
+            self->endHeader();
+        }
+        self->headerName.append(bytes, size);
+        return self->countHead(size);
+    };
+    callbacks.on_header_value = [](http_parser *parser, const char *bytes, std::size_t size) {
+        State *self = stateOf(parser);
+        self->headerValue.append(bytes, size);
+        self->hasValue = true;
+        return self->countHead(size);
+    };
+    callbacks.on_headers_complete
+        = [](http_parser *parser) { return stateOf(parser)->onHeadEnd(); };
+    callbacks.on_body = [](http_parser *parser, const char *bytes, std::size_t size) {
+        return stateOf(parser)->onBody(bytes, size);
+    };
+    callbacks.on_message_complete = [](http_parser *parser) { return stateOf(parser)->onEnd(); };
+    return callbacks;
+}
+
+} // namespace
+
+HttpReader::HttpReader(Direction direction, const Limits &limits)
+    : m_state(std::make_unique<State>(direction))
+{
+    m_state->limits = limits;
+}
+
+HttpReader::~HttpReader() = default;
+
+void HttpReader::changeLimits(const Limits &limits)
+{
+    m_state->limits = limits;
+}
+
+HttpReader::Progress HttpReader::read(std::string_view bytes, std::size_t &used)
+{
+    static const http_parser_settings callbacks = makeCallbacks<State>();
+    State &state = *m_state;
+    used = 0;
+    if (state.outcome != Progress::Unfinished) {
+        return state.outcome;
+    }
+    used = http_parser_execute(&state.parser, &callbacks, bytes.data(), bytes.size());
+    if (state.outcome != Progress::Unfinished) {
+        return state.outcome;
+    }
+    const bool isError = HTTP_PARSER_ERRNO(&state.parser) != HPE_OK;
+    if (isError || state.parser.upgrade != 0) {
+        state.outcome = HTTP_PARSER_ERRNO(&state.parser) == HPE_HEADER_OVERFLOW
+            ? Progress::HeadTooLong
+            : Progress::Malformed;
+    }
+    return state.outcome;
+}
+
+HttpReader::Progress HttpReader::readEnd()
+{
+    static const http_parser_settings callbacks = makeCallbacks<State>();
+    State &state = *m_state;
+    if (state.outcome == Progress::Unfinished) {
+        http_parser_execute(&state.parser, &callbacks, nullptr, 0);
+    }
+    return state.outcome == Progress::Unfinished ? Progress::Malformed : state.outcome;
+}
+
+void HttpReader::expectReplyTo(std::string_view method)
+{
+    m_state->isReplyToHead = method == "HEAD";
+}
+
+HttpRequestMessage HttpReader::takeRequest()
+{
+    HttpRequestMessage request = std::move(m_state->request);
+    m_state->reset();
+    http_parser_pause(&m_state->parser, 0);
+    return request;
+}
+
+HttpReplyMessage HttpReader::takeReply()
+{
+    HttpReplyMessage reply = std::move(m_state->reply);
+    m_state->reset();
+    http_parser_pause(&m_state->parser, 0);
+    return reply;
+}
+
+bool HttpReader::hasBegun() const
+{
+    return m_state->begun;
+}
+
+bool HttpReader::awaitsContinue() const
+{
+    constexpr std::string_view continueToken = "100-continue";
+    return m_state->begun && m_state->headEnded && m_state->outcome == Progress::Unfinished
+        && m_state->request.headers.hasToken("Expect", continueToken);
+}
+
+} // namespace pimentoward
--- /dev/null
+++ b/src/Pimentoward/Core/BoundedAppender.cpp
@@ -0,0 +1,59 @@
+#include "Pimentoward/Core/BoundedAppender.h"
+
+#include <log4cplus/spi/loggingevent.h>
+#include <poll.h>
+#include <unistd.h>
+
+#include <sstream>
+
+namespace pimentoward {
+
+namespace {
+
+/// What a pipe that has room takes at once (PIPE_BUF).
+constexpr std::size_t longestLine = 4096;
+
+} // namespace
+
+BoundedAppender::BoundedAppender(const Settings &settings)
+    : m_settings(settings)
+    , m_pacer(settings.linesPerSecond, settings.burst)
+{ }
+
+BoundedAppender::~BoundedAppender()
+{
+    destructorImpl();
+}
+
+void BoundedAppender::close()
+{
+    closed = true;
+}
+
+bool BoundedAppender::canWrite() const
+{
+    pollfd descriptor {m_settings.descriptor, POLLOUT, 0};
+    return poll(&descriptor, 1, 0) == 1 && (descriptor.revents & POLLOUT) != 0;
+}
+
+void BoundedAppender::append(const log4cplus::spi::InternalLoggingEvent &event)
+{
+    if (!m_pacer.tryTake(std::chrono::steady_clock::now()) || !canWrite()) {
+        ++m_dropped;
+        return;
+    }
+    std::ostringstream text;
+    layout->formatAndAppend(text, event);
+    std::string line = text.str();
+    if (m_dropped > 0) {
+        line.insert(line.size() - 1, " dropped_before=" + std::to_string(m_dropped));
+    }
+    if (line.size() > longestLine) {
+        line.resize(longestLine - 1);
+        line += '\n';
+    }
+    const ssize_t written = ::write(m_settings.descriptor, line.data(), line.size());
+    m_dropped = written == static_cast<ssize_t>(line.size()) ? 0 : m_dropped + 1;
+}
+
+} // namespace pimentoward
--- a/src/Pimentoward/Core/Log.cpp
+++ b/src/Pimentoward/Core/Log.cpp
@@ -1,5 +1,7 @@
 #include "Pimentoward/Core/Log.h"
 
+#include "Pimentoward/Core/BoundedAppender.h"
+
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
@@ -8,18 +10,39 @@
 
 namespace pimentoward {
 
-void Log::start(const std::string &level)
+namespace {
+
+void useAppender(const log4cplus::SharedAppenderPtr &appender, const std::string &pattern)
+{
+    appender->setLayout(std::make_unique<log4cplus::PatternLayout>(pattern));
+    log4cplus::Logger root = log4cplus::Logger::getRoot();
+    root.removeAllAppenders();
+    root.addAppender(appender);
+}
+
+void initializeOnce()
 {
     static log4cplus::Initializer initializer;
+}
+
+} // namespace
+
+void Log::start(const std::string &level)
+{
+    initializeOnce();
     constexpr bool toStandardError = true;
     constexpr bool flushEachLine = true;
     log4cplus::SharedAppenderPtr appender(
         new log4cplus::ConsoleAppender(toStandardError, flushEachLine));
-    const std::string pattern = "%D{%Y-%m-%dT%H:%M:%S.%q} %-5p [%c] %m%n";
-    appender->setLayout(std::make_unique<log4cplus::PatternLayout>(pattern));
-    log4cplus::Logger root = log4cplus::Logger::getRoot();
-    root.removeAllAppenders();
-    root.addAppender(appender);
+    useAppender(appender, "%D{%Y-%m-%dT%H:%M:%S.%q} %-5p [%c] %m%n");
+    changeLevel(level);
+}
+
+void Log::startStructured(const std::string &level)
+{
+    initializeOnce();
+    const log4cplus::SharedAppenderPtr appender(new BoundedAppender(BoundedAppender::Settings()));
+    useAppender(appender, "time=%D{%Y-%m-%dT%H:%M:%S.%q} level=%p part=%c %m%n");
     changeLevel(level);
 }
 
--- a/src/Pimentoward/Core/Log.h
+++ b/src/Pimentoward/Core/Log.h
@@ -13,6 +13,8 @@
 public:
     /// Sets up logging to standard error. `level` is one of TRACE, DEBUG, INFO, WARN, ERROR, OFF.
     static void start(const std::string &level);
+    /// Sets up structured lines on standard output that never wait for their reader.
+    static void startStructured(const std::string &level);
     /// Changes the level of all parts; false where `level` is unknown.
     static bool changeLevel(const std::string &level);
     /// The logger of one part, for the LOG4CPLUS_* macros.
--- /dev/null
+++ b/src/Pimentoward/Process/Registration.cpp
@@ -0,0 +1,129 @@
+#include "Pimentoward/Process/Registration.h"
+
+#include "Pimentoward/Core/Log.h"
+
+namespace pimentoward {
+
+namespace {
+
+log4cplus::Logger registrationLog()
+{
+    return Log::part("member");
+}
+
+} // namespace
+
+Registration::Registration(event_base *loop, KeyValueStore &store, const Settings &settings)
+    : m_store(store)
+    , m_settings(settings)
+    , m_timer(loop, [this] { step(); })
+{ }
+
+void Registration::start()
+{
+    step();
+}
+
+void Registration::step()
+{
+    if (m_isLeaving || m_isCalling) {
+        return;
+    }
+    m_isCalling = true;
+    if (m_lease == 0) {
+        grant();
+    } else if (!m_isWritten) {
+        write();
+    } else {
+        renew();
+    }
+}
+
+void Registration::grant()
+{
+    m_store.grantLease(m_settings.timeToLive,
+                       [this](const std::optional<StoreLease> &lease, const StoreFailure &failure) {
+                           m_isCalling = false;
+                           if (!lease) {
+                               onFailed("lease-not-granted", failure);
+                               return;
+                           }
+                           m_lease = lease->id;
+                           m_isWritten = false;
+                           step();
+                       });
+}
+
+void Registration::write()
+{
+    StoreTransaction transaction;
+    transaction.writes.push_back({m_settings.key, m_settings.value, m_lease});
+    m_store.transact(
+        transaction, [this](const std::optional<Revision> &revision, const StoreFailure &failure) {
+            m_isCalling = false;
+            if (!revision) {
+                onFailed("not-written", failure);
+                return;
+            }
+            m_isWritten = true;
+            LOG4CPLUS_INFO(registrationLog(),
+                           "event=registered key=" << m_settings.key << " lease=" << m_lease
+                                                   << " revision=" << *revision);
+            m_timer.startOnce(m_settings.renewPeriod);
+        });
+}
+
+void Registration::renew()
+{
+    m_store.keepLease(m_lease,
+                      [this](const std::optional<LeaseId> &lease, const StoreFailure &failure) {
+                          m_isCalling = false;
+                          if (!lease) {
+                              onFailed("lease-not-renewed", failure);
+                              return;
+                          }
+                          m_timer.startOnce(m_settings.renewPeriod);
+                      });
+}
+
+void Registration::onFailed(const char *what, const StoreFailure &failure)
+{
+    LOG4CPLUS_WARN(registrationLog(),
+                   "event=" << what << " lease=" << m_lease << " reason=\"" << failure.text << '"');
+    if (failure.error == StoreError::NotFound) {
+        m_lease = 0;
+        m_isWritten = false;
+    }
+    m_timer.startOnce(m_settings.retryPause);
+}
+
+void Registration::onVanished()
+{
+    if (m_isLeaving || !m_isWritten) {
+        return;
+    }
+    LOG4CPLUS_WARN(registrationLog(), "event=key-vanished lease=" << m_lease);
+    m_isWritten = false;
+    m_timer.startOnce(m_settings.retryPause);
+}
+
+void Registration::leave(std::function<void()> done)
+{
+    m_isLeaving = true;
+    m_timer.stop();
+    if (m_lease == 0) {
+        done();
+        return;
+    }
+    m_store.endLease(
+        m_lease,
+        [done = std::move(done)](const std::optional<LeaseId> &lease, const StoreFailure &failure) {
+            if (!lease) {
+                LOG4CPLUS_WARN(registrationLog(),
+                               "event=lease-not-ended reason=\"" << failure.text << '"');
+            }
+            done();
+        });
+}
+
+} // namespace pimentoward
--- /dev/null
+++ b/src/Pimentoward/Process/ServingTask.cpp
@@ -0,0 +1,138 @@
+#include "Pimentoward/Process/ServingTask.h"
+
+#include "Pimentoward/Core/Log.h"
+
+namespace pimentoward {
+
+namespace {
+
+constexpr std::chrono::seconds metricsWindow {60};
+constexpr int statusUnavailable = 503;
+
+} // namespace
+
+ServingTask::ServingTask(const ServingTaskSettings &settings)
+    : m_settings(settings)
+    , m_forwarder(m_task.loop(), settings.forwarder, m_metrics)
+    , m_callers(m_task.loop(), callerHooks())
+    , m_readyServer(m_task.loop(), {})
+    , m_metricsServer(m_task.loop(), {})
+    , m_metricsTimer(m_task.loop(), [this] { m_metrics.rotate(); })
+{
+    m_readyServer.route("GET", m_settings.readyPath,
+                        [this](const HttpRequest &, const HttpServer::Responder &respond) {
+                            respond(readyAnswer());
+                        });
+    m_metricsServer.route("GET", m_settings.metricsPath,
+                          [this](const HttpRequest &, const HttpServer::Responder &respond) {
+                              HttpAnswer answer;
+                              answer.contentType = "text/plain; version=0.0.4";
+                              answer.body = m_metrics.render();
+                              respond(answer);
+                          });
+    addGauges();
+    m_metricsTimer.startRepeating(metricsWindow);
+}
+
+ServingTask::~ServingTask()
+{
+    m_task.stop();
+}
+
+CallerConnection::Hooks ServingTask::callerHooks()
+{
+    CallerConnection::Hooks hooks;
+    hooks.onRequest = [this](CallerConnection &caller, CallerConnection::Arrival arrival) {
+        m_forwarder.onRequest(caller, std::move(arrival));
+    };
+    hooks.onCallerGone = [this](CallerConnection &caller) { m_forwarder.onCallerGone(caller); };
+    hooks.onRefused = [this](int status, const char *why) {
+        LOG4CPLUS_WARN(Log::part("callers"),
+                       "event=unreadable-request status=" << status << " reason=\"" << why << '"');
+        m_metrics
+            .counter("pimentoward_requests_unreadable_total", "Requests refused while being read",
+                     {{"status", std::to_string(status)}})
+            .add();
+    };
+    return hooks;
+}
+
+void ServingTask::addGauges()
+{
+    m_metrics.gauge("pimentoward_requests_running", "Requests that have no answer yet",
+                    [this] { return static_cast<double>(m_forwarder.running()); });
+    m_metrics.gauge("pimentoward_caller_connections", "Connections of callers",
+                    [this] { return static_cast<double>(m_callers.connections()); });
+    m_metrics.gauge("pimentoward_backend_servers", "Backend servers in service",
+                    [this] { return static_cast<double>(m_forwarder.fleet().size()); });
+    m_metrics.gauge("pimentoward_backend_connections", "Connections to backend servers",
+                    [this] { return static_cast<double>(m_forwarder.fleet().connections()); });
+    m_metrics.gauge(
+        "pimentoward_backend_connections_opened", "Connections opened to backend servers",
+        [this] { return static_cast<double>(m_forwarder.fleet().connectionsOpened()); });
+}
+
+HttpAnswer ServingTask::readyAnswer() const
+{
+    HttpAnswer answer;
+    answer.contentType = "text/plain";
+    if (m_isStopping || !m_forwarder.canServe()) {
+        answer.status = statusUnavailable;
+        answer.body = m_isStopping ? "stopping\n" : "settings not known\n";
+    } else {
+        answer.body = "ready\n";
+    }
+    return answer;
+}
+
+bool ServingTask::listen(Reason &reason)
+{
+    if (!m_callers.listen(m_settings.callerListen, reason)
+        || !m_readyServer.listen(m_settings.readyListen, reason)) {
+        return false;
+    }
+    return !m_settings.metricsListen || m_metricsServer.listen(*m_settings.metricsListen, reason);
+}
+
+void ServingTask::postRoutes(RouteTablePtr routes)
+{
+    m_task.post([this, routes = std::move(routes)] {
+        m_callers.changeLimits(routes->limits());
+        m_forwarder.changeRoutes(routes);
+    });
+}
+
+void ServingTask::postBackends(BackendListPtr backends)
+{
+    m_task.post([this, backends = std::move(backends)] { m_forwarder.changeBackends(backends); });
+}
+
+void ServingTask::postMembers(std::size_t members)
+{
+    m_task.post([this, members] { m_forwarder.changeMembers(members); });
+}
+
+void ServingTask::postRetryBudget(const SharedRetryBudget::Settings &settings)
+{
+    m_task.post([this, settings] { m_forwarder.changeRetryBudget(settings); });
+}
+
+void ServingTask::postNotReady()
+{
+    m_task.post([this] {
+        m_isStopping = true;
+        m_callers.closeAfterReplies();
+    });
+}
+
+void ServingTask::postCloseIdle()
+{
+    m_task.post([this] { m_callers.closeIdle(); });
+}
+
+void ServingTask::postRunning(std::function<void(std::size_t)> hook)
+{
+    m_task.post([this, hook = std::move(hook)] { hook(m_forwarder.running()); });
+}
+
+} // namespace pimentoward
--- /dev/null
+++ b/src/Pimentoward/Process/SharedMembers.cpp
@@ -0,0 +1,49 @@
+#include "Pimentoward/Process/SharedMembers.h"
+
+#include <algorithm>
+
+namespace pimentoward {
+
+SharedMembers::SharedMembers(MemberId self, const Settings &settings)
+    : m_self(std::move(self))
+    , m_settings(settings)
+{
+    m_members[m_self] = std::nullopt;
+}
+
+void SharedMembers::onPresent(const MemberId &member)
+{
+    m_members[member] = std::nullopt;
+}
+
+void SharedMembers::onVanished(const MemberId &member, SteadyTime now)
+{
+    const auto found = m_members.find(member);
+    if (member == m_self || found == m_members.end() || found->second) {
+        return;
+    }
+    found->second = now;
+}
+
+std::size_t SharedMembers::count(SteadyTime now)
+{
+    for (auto it = m_members.begin(); it != m_members.end();) {
+        const bool isOver = it->second && *it->second + m_settings.countedAfter <= now;
+        it = isOver ? m_members.erase(it) : std::next(it);
+    }
+    return m_members.size();
+}
+
+std::optional<SteadyTime> SharedMembers::nextChange() const
+{
+    std::optional<SteadyTime> next;
+    for (const auto &[member, goneSince] : m_members) {
+        if (goneSince) {
+            const SteadyTime end = *goneSince + m_settings.countedAfter;
+            next = std::min(next.value_or(end), end);
+        }
+    }
+    return next;
+}
+
+} // namespace pimentoward
--- /dev/null
+++ b/src/Pimentoward/Process/SharedMembers.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "Pimentoward/Core/Types.h"
+
+#include <cstddef>
+#include <map>
+#include <optional>
+
+namespace pimentoward {
+
+/// Counts the VMs among which shared limits are divided. Does no input or output.
+///
+/// Load pattern: VMs that are killed, frozen or cut off from the store still spend, or have just
+/// spent, their part of a limit; one that vanishes from the list therefore counts for a while
+/// longer, so that the parts never add up to more than the limit.
+class SharedMembers
+{
+public:
+    struct Settings
+    {
+        /// How long a VM counts after it has vanished; as long as the longest window of a limit.
+        Duration countedAfter = std::chrono::seconds(12);
+    };
+
+    SharedMembers(MemberId self, const Settings &settings);
+
+    void onPresent(const MemberId &member);
+    void onVanished(const MemberId &member, SteadyTime now);
+    /// VMs that count at `now`, this one included.
+    std::size_t count(SteadyTime now);
+    /// When count() next falls.
+    std::optional<SteadyTime> nextChange() const;
+
+private:
+    MemberId m_self;
+    Settings m_settings;
+    /// Since when each VM is gone; nothing for those that are present.
+    std::map<MemberId, std::optional<SteadyTime>> m_members;
+};
+
+} // namespace pimentoward
--- /dev/null
+++ b/src/Pimentoward/Process/StoreMirror.cpp
@@ -0,0 +1,122 @@
+#include "Pimentoward/Process/StoreMirror.h"
+
+#include <algorithm>
+
+namespace pimentoward {
+
+StoreMirror::StoreMirror(const Settings &settings, Hooks hooks)
+    : m_settings(settings)
+    , m_hooks(std::move(hooks))
+    , m_random(settings.seed)
+{ }
+
+StoreMirror::Step StoreMirror::next()
+{
+    if (m_isPausing) {
+        m_isPausing = false;
+        constexpr unsigned mostDoublings = 8;
+        const unsigned doublings = std::min(m_failuresInRow - 1, mostDoublings);
+        const Duration mean
+            = std::min(m_settings.firstPause * (1U << doublings), m_settings.longestPause);
+        std::uniform_real_distribution<double> around(0.5, 1.5);
+        return Pause {std::chrono::duration_cast<Duration>(mean * around(m_random))};
+    }
+    if (m_isListing) {
+        return List {m_listAfter};
+    }
+    return Watch {m_revision};
+}
+
+void StoreMirror::apply(const StoreItem &item)
+{
+    Revision &known = m_revisions[item.key];
+    if (item.revision <= known) {
+        return;
+    }
+    known = item.revision;
+    m_hooks.onWritten(item);
+}
+
+void StoreMirror::remove(const std::string &key, Revision revision)
+{
+    const auto found = m_revisions.find(key);
+    if (found == m_revisions.end() || found->second > revision) {
+        return;
+    }
+    m_revisions.erase(found);
+    m_hooks.onRemoved(key);
+}
+
+void StoreMirror::onPage(const StorePage &page)
+{
+    m_failuresInRow = 0;
+    if (m_listRevision == 0) {
+        m_listRevision = page.revision;
+    }
+    for (const StoreItem &item : page.items) {
+        m_listed.insert(item.key);
+        apply(item);
+    }
+    if (page.hasMore && !page.items.empty()) {
+        m_listAfter = page.items.back().key;
+        return;
+    }
+    finishList();
+}
+
+void StoreMirror::finishList()
+{
+    std::vector<std::string> vanished;
+    for (const auto &[key, revision] : m_revisions) {
+        if (m_listed.count(key) == 0) {
+            vanished.push_back(key);
+        }
+    }
+    for (const std::string &key : vanished) {
+        remove(key, m_listRevision);
+    }
+    // Pages are read one after the other; what changed meanwhile comes from the first one on.
+    m_revision = m_listRevision;
+    m_listed.clear();
+    m_listAfter.clear();
+    m_listRevision = 0;
+    m_isListing = false;
+    m_isComplete = true;
+    m_hooks.onCurrent();
+}
+
+void StoreMirror::onChanges(const StoreChanges &changes)
+{
+    m_failuresInRow = 0;
+    for (const StoreEvent &event : changes.events) {
+        if (event.isRemoved) {
+            remove(event.item.key, event.item.revision);
+        } else {
+            apply(event.item);
+        }
+    }
+    m_revision = std::max(m_revision, changes.revision);
+    m_hooks.onCurrent();
+}
+
+void StoreMirror::onFailed(const StoreFailure &failure)
+{
+    if (failure.error == StoreError::HistoryGone) {
+        m_isListing = true;
+        m_listAfter.clear();
+        m_listed.clear();
+        m_listRevision = 0;
+        return;
+    }
+    ++m_failuresInRow;
+    m_isPausing = true;
+    if (m_isListing) {
+        // A list that was broken off begins anew: what its first pages told may have changed.
+        m_listAfter.clear();
+        m_listed.clear();
+        m_listRevision = 0;
+    }
+    m_hooks.onOutage();
+}
+
+} // namespace pimentoward
--- /dev/null
+++ b/src/Pimentoward/Request/ActiveRequest.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "Pimentoward/Connection/CallerConnection.h"
+#include "Pimentoward/Process/Timer.h"
+#include "Pimentoward/Request/Gather.h"
+#include "Pimentoward/Version/RouteTable.h"
+
+#include <functional>
+#include <string>
+
+namespace pimentoward {
+
+/// A caller's request while it runs: what it asked, the settings version that it keeps, and its
+/// decisions.
+struct ActiveRequest
+{
+    ActiveRequest(event_base *loop, GatherPlan plan, const Gather::Environment &environment,
+                  std::function<void()> onTimer)
+        : gather(std::move(plan), environment)
+        , timer(loop, std::move(onTimer))
+    { }
+
+    CallerConnection *caller = nullptr;
+    /// Keeps `route` alive.
+    RouteTablePtr routes;
+    const Route *route = nullptr;
+    RequestId id;
+    std::string method;
+    /// First line and header fields as they go to every backend server.
+    std::string head;
+    std::string body;
+    SteadyTime readAt {};
+    SteadyTime deadline {};
+    Duration hedgeDelay {};
+    /// The usual time of one part, by which replies are compared.
+    Duration usualTime {};
+    Gather gather;
+    Timer timer;
+};
+
+} // namespace pimentoward
--- /dev/null
+++ b/src/Pimentoward/Request/BackendChooser.cpp
@@ -0,0 +1,44 @@
+#include "Pimentoward/Request/BackendChooser.h"
+
+#include <algorithm>
+
+namespace pimentoward {
+
+BackendChooser::BackendChooser(const Settings &settings)
+    : m_settings(settings)
+    , m_random(settings.seed)
+{ }
+
+double BackendChooser::cost(const Candidate &candidate)
+{
+    std::uniform_real_distribution<double> jitter(0, m_settings.jitter);
+    const double way = candidate.isNear ? 0 : m_settings.farWeight;
+    return (candidate.slowness + way) * (1 + jitter(m_random));
+}
+
+Gather::Choice BackendChooser::choose(const std::vector<Candidate> &candidates, SendPurpose purpose)
+{
+    const bool hasSound = std::any_of(candidates.begin(), candidates.end(),
+                                      [](const Candidate &entry) { return !entry.isSuspect; });
+    const bool needsSound = hasSound || purpose == SendPurpose::Hedge;
+    const Candidate *best = nullptr;
+    double bestCost = 0;
+    for (const Candidate &candidate : candidates) {
+        if (!candidate.hasRoom || (needsSound && candidate.isSuspect)) {
+            continue;
+        }
+        const double thisCost = cost(candidate);
+        if (best == nullptr || thisCost < bestCost) {
+            best = &candidate;
+            bestCost = thisCost;
+        }
+    }
+    Gather::Choice choice;
+    choice.mayComeLater = !candidates.empty();
+    if (best != nullptr) {
+        choice.to = *best->id;
+    }
+    return choice;
+}
+
+} // namespace pimentoward
--- /dev/null
+++ b/src/Pimentoward/Request/Forwarder.h
@@ -0,0 +1,142 @@
+#pragma once
+
+#include "Pimentoward/Connection/BackendFleet.h"
+#include "Pimentoward/Connection/CallerConnection.h"
+#include "Pimentoward/Connection/ForwardHeaders.h"
+#include "Pimentoward/Process/Metrics.h"
+#include "Pimentoward/Request/ActiveRequest.h"
+#include "Pimentoward/Request/AnswerTiming.h"
+#include "Pimentoward/Request/BackendChooser.h"
+#include "Pimentoward/Request/RouteLatencies.h"
+#include "Pimentoward/Request/SharedRetryBudget.h"
+#include "Pimentoward/Request/WeightedTurns.h"
+
+#include <list>
+#include <memory>
+#include <set>
+#include <unordered_map>
+
+namespace pimentoward {
+
+/// What a Forwarder is built from.
+struct ForwarderSettings
+{
+    ForwardHeaders headers;
+    /// Failure domain of this VM.
+    FailureDomain failureDomain;
+    SharedRetryBudget::Settings retryBudget;
+    BackendFleet::Settings fleet;
+    BackendChooser::Settings chooser;
+    AnswerTiming::Settings timing;
+    RouteLatencies::Settings latencies;
+    /// A request that finds no room is refused after this share of its route's objective.
+    double refuseShare = 0.2;
+    /// How long work goes on at backend servers after its request was answered, so that the
+    /// connection can be used again.
+    Duration lateReplyTime = std::chrono::milliseconds(400);
+    /// The same after the caller has left.
+    Duration callerGoneTime = std::chrono::milliseconds(250);
+};
+
+/// Carries callers' requests to backend servers and back: asks the decision classes and does what
+/// they say. Belongs to one task.
+class Forwarder
+{
+public:
+    Forwarder(event_base *loop, const ForwarderSettings &settings, Metrics &metrics);
+    ~Forwarder();
+    Forwarder(const Forwarder &) = delete;
+    Forwarder &operator=(const Forwarder &) = delete;
+
+    /// Takes another version of the settings; requests that run keep theirs.
+    void changeRoutes(RouteTablePtr routes);
+    void changeBackends(BackendListPtr backends);
+    /// VMs that share what backend servers and services bear, this one included.
+    void changeMembers(std::size_t members);
+    void changeRetryBudget(const SharedRetryBudget::Settings &settings);
+
+    void onRequest(CallerConnection &caller, CallerConnection::Arrival arrival);
+    void onCallerGone(CallerConnection &caller);
+    /// Requests that have no answer yet.
+    std::size_t running() const { return m_requests.size(); }
+    /// True once a request can be served: settings and backend servers are known.
+    bool canServe() const { return m_routes != nullptr && m_backends != nullptr; }
+    const BackendFleet &fleet() const { return m_fleet; }
+
+private:
+    /// One request at one backend server.
+    struct Exchange
+    {
+        /// Null once its request has ended.
+        ActiveRequest *request = nullptr;
+        AttemptNumber attempt = 0;
+        BackendLink *link = nullptr;
+        BackendConnection *connection = nullptr;
+        unsigned healthNumber = 0;
+        SteadyTime sentAt {};
+        Duration usualTime {};
+        /// When it is given up after its request has ended.
+        SteadyTime giveUpAt {};
+        /// Route of the request, by which its time is learned.
+        RouteTablePtr routes;
+        const Route *route = nullptr;
+    };
+    using Exchanges = std::list<Exchange>;
+
+    void refuse(CallerConnection &caller, const RequestId &id, int status, const char *why);
+    void begin(CallerConnection &caller, CallerConnection::Arrival arrival, const Route &route,
+               const RequestId &id);
+    GatherPlan planFor(const Route &route, const CallerConnection::Arrival &arrival);
+    Duration timeLeft(const Route &route, const HttpRequestMessage &request) const;
+    std::string headFor(const HttpRequestMessage &request) const;
+    void carryOut(ActiveRequest &request, GatherActions actions);
+    void send(ActiveRequest &request, const GatherSend &send);
+    std::string bytesFor(const ActiveRequest &request, const BackendServerId &to,
+                         SteadyTime now) const;
+    void onExchangeEnded(Exchanges::iterator exchange, ExchangeEnd end, HttpReplyMessage reply);
+    void learn(const Exchange &exchange, const JudgedReply &reply, SteadyTime now);
+    void finish(ActiveRequest &request, GatherOutcome outcome);
+    HttpReplyMessage replyFor(const ActiveRequest &request, GatherOutcome &outcome) const;
+    void log(const ActiveRequest &request, const GatherOutcome &outcome, SteadyTime now) const;
+    void detachExchanges(ActiveRequest &request, Duration keepFor);
+    void remove(ActiveRequest &request);
+    void noteWaiting(ActiveRequest &request);
+    void onRoom(BackendLink &link);
+    void serveWaiting();
+    void sweep();
+    void updateFleet();
+    Gather::Choice choose(const ServiceName &service, const std::vector<BackendServerId> &avoid,
+                          SendPurpose purpose, SteadyTime now);
+    bool takeExtra(const ServiceName &service, SteadyTime now);
+    SharedRetryBudget &budget(const ServiceName &service);
+
+    /// Waiting requests, the most urgent first, then the oldest.
+    struct WaitOrder
+    {
+        bool operator()(const ActiveRequest *a, const ActiveRequest *b) const;
+    };
+
+    event_base *m_loop;
+    ForwarderSettings m_settings;
+    RouteTablePtr m_routes;
+    BackendListPtr m_backends;
+    std::size_t m_members = 1;
+    BackendFleet m_fleet;
+    BackendChooser m_chooser;
+    AnswerTiming m_timing;
+    RouteLatencies m_latencies;
+    WeightedTurns m_turns;
+    Gather::Environment m_environment;
+    std::unordered_map<ServiceName, SharedRetryBudget> m_budgets;
+    std::unordered_map<CallerConnection *, std::unique_ptr<ActiveRequest>> m_requests;
+    Exchanges m_exchanges;
+    std::set<ActiveRequest *, WaitOrder> m_waiting;
+    std::set<ServiceName> m_hasRoom;
+    Timer m_roomTimer;
+    Timer m_sweepTimer;
+    /// Requests that have ended; destroyed from the loop, since their own timer may be running.
+    std::vector<std::unique_ptr<ActiveRequest>> m_ended;
+    Metrics &m_metrics;
+};
+
+} // namespace pimentoward
--- /dev/null
+++ b/src/Pimentoward/Request/Gather.cpp
@@ -0,0 +1,340 @@
+#include "Pimentoward/Request/Gather.h"
+
+#include "Pimentoward/Request/RecordMerge.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace pimentoward {
+
+namespace {
+
+constexpr int statusOk = 200;
+constexpr int statusBadGateway = 502;
+constexpr int statusUnavailable = 503;
+constexpr int statusGatewayTimeout = 504;
+
+/// Sendings that proved not to have run, besides those that may run, for one part.
+constexpr unsigned mostRefusedSends = 2;
+/// Pause after which a hedge that found no budget or no backend server is asked for again.
+constexpr std::chrono::milliseconds hedgeAskAgain {15};
+/// Tells a refused caller to come back when a pausing or restarting backend server is there again.
+constexpr const char *retryAfterSeconds = "0.3";
+
+} // namespace
+
+Gather::Gather(GatherPlan plan, const Environment &environment)
+    : Gather(std::move(plan), environment, Checks())
+{ }
+
+Gather::Gather(GatherPlan plan, const Environment &environment, const Checks &checks)
+    : m_plan(std::move(plan))
+    , m_environment(environment)
+    , m_checks(checks)
+    , m_parts(m_plan.parts.size())
+{
+    assert(!m_parts.empty());
+    m_counts.parts = m_parts.size();
+}
+
+GatherActions Gather::start(SteadyTime now)
+{
+    GatherActions actions;
+    for (std::size_t index = 0; index < m_parts.size(); ++index) {
+        sendFirst(index, now, actions);
+    }
+    return conclude(std::move(actions), now);
+}
+
+void Gather::sendFirst(std::size_t index, SteadyTime now, GatherActions &actions)
+{
+    Part &part = m_parts[index];
+    const Choice choice
+        = m_environment.choose(m_plan.parts[index], part.tried, SendPurpose::First, now);
+    part.isWaiting = choice.to.empty() && choice.mayComeLater;
+    if (!choice.to.empty()) {
+        send(index, choice.to, SendPurpose::First, now, actions);
+    } else if (!choice.mayComeLater) {
+        part.isGivenUp = true;
+        m_counts.lastFailure = "no backend server in service";
+    }
+}
+
+void Gather::send(std::size_t index, const BackendServerId &to, SendPurpose purpose, SteadyTime now,
+                  GatherActions &actions)
+{
+    Part &part = m_parts[index];
+    part.tried.push_back(to);
+    ++part.open;
+    ++part.mayHaveRun;
+    ++part.sends;
+    m_attempts.push_back({index, to, true});
+    ++m_counts.sends;
+    m_counts.hedges += purpose == SendPurpose::Hedge ? 1 : 0;
+    m_counts.retries += purpose == SendPurpose::Retry ? 1 : 0;
+    part.hedgeAt.reset();
+    if (mayRunAgain(part)) {
+        part.hedgeAt = now + m_plan.hedgeDelay;
+    }
+    actions.emplace_back(
+        GatherSend {index, static_cast<AttemptNumber>(m_attempts.size()), purpose, to});
+}
+
+bool Gather::mayRunAgain(const Part &part) const
+{
+    if (part.sends >= m_plan.maxAttempts + mostRefusedSends) {
+        return false;
+    }
+    if (part.mayHaveRun == 0) {
+        return true;
+    }
+    const bool isRepeatable = m_plan.isIdempotent || !m_checks.atMostOnce;
+    return isRepeatable && part.mayHaveRun < m_plan.maxAttempts;
+}
+
+GatherActions Gather::onReply(AttemptNumber number, JudgedReply reply, SteadyTime now)
+{
+    if (m_isFinished) {
+        return {};
+    }
+    Attempt &attempt = m_attempts.at(number - 1);
+    assert(attempt.isOpen);
+    attempt.isOpen = false;
+    const std::size_t index = attempt.part;
+    Part &part = m_parts[index];
+    --part.open;
+    GatherActions actions;
+    if (part.answer) {
+        return actions;
+    }
+    if (reply.kind == ReplyKind::Success) {
+        part.answer = std::move(reply);
+        part.hedgeAt.reset();
+        part.isWaiting = false;
+        return conclude(std::move(actions), now);
+    }
+    m_counts.lastFailure = reply.why;
+    if (reply.kind == ReplyKind::NotRun) {
+        --part.mayHaveRun;
+    }
+    if (reply.kind == ReplyKind::Failure) {
+        part.failure = std::move(reply.message);
+    }
+    if (part.open == 0) {
+        retry(index, now, actions);
+    }
+    return conclude(std::move(actions), now);
+}
+
+void Gather::retry(std::size_t index, SteadyTime now, GatherActions &actions)
+{
+    Part &part = m_parts[index];
+    part.hedgeAt.reset();
+    if (!mayRunAgain(part)) {
+        part.isGivenUp = true;
+        return;
+    }
+    const ServiceName &service = m_plan.parts[index];
+    const Choice choice = m_environment.choose(service, part.tried, SendPurpose::Retry, now);
+    if (choice.to.empty()) {
+        part.isGivenUp = true;
+        return;
+    }
+    if (m_checks.budget && !m_environment.takeExtra(service, now)) {
+        part.isGivenUp = true;
+        m_counts.lastFailure += ", retry budget spent";
+        return;
+    }
+    send(index, choice.to, SendPurpose::Retry, now, actions);
+}
+
+void Gather::hedge(std::size_t index, SteadyTime now, GatherActions &actions)
+{
+    Part &part = m_parts[index];
+    part.hedgeAt.reset();
+    if (!m_plan.isIdempotent || part.open == 0 || !mayRunAgain(part)) {
+        return;
+    }
+    const ServiceName &service = m_plan.parts[index];
+    const Choice choice = m_environment.choose(service, part.tried, SendPurpose::Hedge, now);
+    const bool isGranted
+        = !choice.to.empty() && (!m_checks.budget || m_environment.takeExtra(service, now));
+    if (!isGranted) {
+        part.hedgeAt = now + hedgeAskAgain;
+        return;
+    }
+    send(index, choice.to, SendPurpose::Hedge, now, actions);
+}
+
+GatherActions Gather::onRoom(const std::set<ServiceName> &services, SteadyTime now)
+{
+    GatherActions actions;
+    if (m_isFinished) {
+        return actions;
+    }
+    for (std::size_t index = 0; index < m_parts.size(); ++index) {
+        if (m_parts[index].isWaiting && services.count(m_plan.parts[index]) > 0) {
+            sendFirst(index, now, actions);
+        }
+    }
+    return conclude(std::move(actions), now);
+}
+
+GatherActions Gather::onTimer(SteadyTime now)
+{
+    GatherActions actions;
+    if (m_isFinished) {
+        return actions;
+    }
+    for (std::size_t index = 0; index < m_parts.size(); ++index) {
+        const Part &part = m_parts[index];
+        if (!part.answer && part.hedgeAt && *part.hedgeAt <= now) {
+            hedge(index, now, actions);
+        }
+    }
+    return conclude(std::move(actions), now);
+}
+
+SteadyTime Gather::nextTimer() const
+{
+    SteadyTime next = m_plan.deadline;
+    const bool hasSent = !m_attempts.empty();
+    if (!hasSent) {
+        next = std::min(next, m_plan.refuseBy);
+    }
+    if (m_plan.isFanout && !coversEnough()) {
+        next = std::min(next, m_plan.deadline);
+    } else if (m_plan.isFanout) {
+        next = std::min(next, m_plan.answerBy);
+    }
+    for (const Part &part : m_parts) {
+        if (!part.answer && part.hedgeAt) {
+            next = std::min(next, *part.hedgeAt);
+        }
+    }
+    return next;
+}
+
+bool Gather::isWaiting() const
+{
+    return std::any_of(m_parts.begin(), m_parts.end(),
+                       [](const Part &part) { return part.isWaiting; });
+}
+
+bool Gather::isSettled(const Part &part) const
+{
+    return part.answer.has_value() || (part.isGivenUp && part.open == 0);
+}
+
+std::size_t Gather::answered() const
+{
+    return static_cast<std::size_t>(std::count_if(
+        m_parts.begin(), m_parts.end(), [](const Part &part) { return part.answer.has_value(); }));
+}
+
+bool Gather::coversEnough() const
+{
+    const std::size_t count = answered();
+    if (count == 0) {
+        return false;
+    }
+    // The share is compared as a number of parts, so that rounding never lets one less through.
+    constexpr double roundingSlack = 1e-9;
+    const double needed = m_plan.leastCoverage * static_cast<double>(m_parts.size());
+    return !m_checks.coverage || static_cast<double>(count) + roundingSlack >= needed;
+}
+
+bool Gather::canStillCover() const
+{
+    const auto lost = std::count_if(m_parts.begin(), m_parts.end(), [this](const Part &part) {
+        return isSettled(part) && !part.answer;
+    });
+    constexpr double roundingSlack = 1e-9;
+    const double left = static_cast<double>(m_parts.size()) - static_cast<double>(lost);
+    const double needed = m_plan.leastCoverage * static_cast<double>(m_parts.size());
+    return left > 0 && left + roundingSlack >= needed;
+}
+
+bool Gather::hasRun() const
+{
+    return std::any_of(m_parts.begin(), m_parts.end(),
+                       [](const Part &part) { return part.mayHaveRun > 0; });
+}
+
+GatherActions Gather::conclude(GatherActions actions, SteadyTime now)
+{
+    const bool isSettledWhole = std::all_of(m_parts.begin(), m_parts.end(),
+                                            [this](const Part &part) { return isSettled(part); });
+    const bool isEnough = m_plan.isFanout && now >= m_plan.answerBy && coversEnough();
+    const bool isHopeless = m_plan.isFanout && !canStillCover();
+    const bool isRefused = m_attempts.empty() && now >= m_plan.refuseBy;
+    if (isSettledWhole || isEnough || isHopeless || isRefused || now >= m_plan.deadline) {
+        finish(actions, now);
+    }
+    return actions;
+}
+
+void Gather::finish(GatherActions &actions, SteadyTime now)
+{
+    m_isFinished = true;
+    GatherOutcome outcome = m_counts;
+    outcome.missing = m_parts.size() - answered();
+    if (!m_plan.isFanout) {
+        answerAlone(outcome, now);
+    } else if (coversEnough()) {
+        answerMerged(outcome);
+    } else {
+        outcome.reply = failed(outcome.reason, now);
+    }
+    actions.emplace_back(GatherFinish {std::move(outcome)});
+}
+
+void Gather::answerAlone(GatherOutcome &outcome, SteadyTime now)
+{
+    Part &part = m_parts.front();
+    if (part.answer) {
+        outcome.reply = std::move(part.answer->message);
+        return;
+    }
+    if (part.failure) {
+        outcome.reply = std::move(*part.failure);
+        outcome.reason = {ResultCode::BackendFailed, "the backend server's own failure"};
+        return;
+    }
+    outcome.reply = failed(outcome.reason, now);
+}
+
+void Gather::answerMerged(GatherOutcome &outcome) const
+{
+    std::vector<std::string_view> bodies;
+    for (const Part &part : m_parts) {
+        if (part.answer) {
+            bodies.push_back(part.answer->message.body);
+            outcome.signatures.push_back(part.answer->signature);
+        }
+    }
+    outcome.reply.status = statusOk;
+    outcome.reply.body = mergeGreatest(bodies, m_plan.topRecords);
+    outcome.reason.code = outcome.missing == 0 ? ResultCode::Ok : ResultCode::PartialCoverage;
+}
+
+HttpReplyMessage Gather::failed(Reason &reason, SteadyTime now) const
+{
+    HttpReplyMessage reply;
+    const std::string why = m_counts.lastFailure.empty() ? "" : ": " + m_counts.lastFailure;
+    if (!hasRun()) {
+        reply.status = statusUnavailable;
+        reply.headers.add("Retry-After", retryAfterSeconds);
+        reason = {ResultCode::NotRunOverloaded, "not run" + why};
+    } else if (now >= m_plan.deadline) {
+        reply.status = statusGatewayTimeout;
+        reason = {ResultCode::DeadlineExceeded, "no answer in time" + why};
+    } else {
+        reply.status = statusBadGateway;
+        reason = {ResultCode::BackendFailed, "no usable answer" + why};
+    }
+    return reply;
+}
+
+} // namespace pimentoward
--- /dev/null
+++ b/src/Pimentoward/Request/SharedRetryBudget.cpp
@@ -0,0 +1,73 @@
+#include "Pimentoward/Request/SharedRetryBudget.h"
+
+#include <algorithm>
+
+namespace pimentoward {
+
+SharedRetryBudget::SharedRetryBudget()
+    : SharedRetryBudget(Settings())
+{ }
+
+SharedRetryBudget::SharedRetryBudget(const Settings &settings)
+    : m_settings(settings)
+{ }
+
+std::int64_t SharedRetryBudget::sliceNumber(SteadyTime now) const
+{
+    const Duration length = m_settings.window / slicesPerWindow;
+    return now.time_since_epoch() / length;
+}
+
+SharedRetryBudget::Slice &SharedRetryBudget::slice(SteadyTime now)
+{
+    const std::int64_t number = sliceNumber(now);
+    Slice &slice = m_slices[static_cast<std::size_t>(number) % m_slices.size()];
+    if (slice.number != number) {
+        slice = {number, 0, 0};
+    }
+    return slice;
+}
+
+SharedRetryBudget::Sums SharedRetryBudget::sums(SteadyTime now) const
+{
+    const std::int64_t oldest = sliceNumber(now) - static_cast<std::int64_t>(slicesPerWindow);
+    Sums sums;
+    for (const Slice &slice : m_slices) {
+        if (slice.number >= oldest) {
+            sums.requests += slice.requests;
+            sums.extras += slice.extras;
+        }
+    }
+    return sums;
+}
+
+void SharedRetryBudget::onRequest(SteadyTime now)
+{
+    ++slice(now).requests;
+}
+
+double SharedRetryBudget::allowance(const Sums &sums, std::size_t members) const
+{
+    const double fixed
+        = m_settings.fixedForAll / static_cast<double>(std::max<std::size_t>(1, members));
+    return m_settings.spentShare * (m_settings.ratio * sums.requests + fixed);
+}
+
+bool SharedRetryBudget::take(SteadyTime now, std::size_t members)
+{
+    const Sums spent = sums(now);
+    if (spent.extras + 1 > allowance(spent, members)) {
+        return false;
+    }
+    ++slice(now).extras;
+    return true;
+}
+
+double SharedRetryBudget::unspent(SteadyTime now, std::size_t members)
+{
+    const Sums spent = sums(now);
+    const double allowed = allowance(spent, members);
+    return allowed <= 0 ? 0 : std::max(0.0, 1 - spent.extras / allowed);
+}
+
+} // namespace pimentoward
--- /dev/null
+++ b/src/Pimentoward/Request/WeightedTurns.cpp
@@ -0,0 +1,38 @@
+#include "Pimentoward/Request/WeightedTurns.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace pimentoward {
+
+bool WeightedTurns::isSameSplit(const std::vector<WeightedService> &a,
+                                const std::vector<WeightedService> &b)
+{
+    return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+                      [](const WeightedService &left, const WeightedService &right) {
+                          return left.service == right.service && left.weight == right.weight;
+                      });
+}
+
+const ServiceName &WeightedTurns::next(const Route &route)
+{
+    assert(!route.split.empty());
+    if (route.split.size() == 1) {
+        return route.split.front().service;
+    }
+    Turn &turn = m_turns[route.name];
+    if (!isSameSplit(turn.split, route.split)) {
+        turn = {route.split, std::vector<double>(route.split.size(), 0)};
+    }
+    // Each service earns its weight; the one with the most pays for all.
+    double total = 0;
+    for (std::size_t index = 0; index < route.split.size(); ++index) {
+        turn.credit[index] += route.split[index].weight;
+        total += route.split[index].weight;
+    }
+    const auto most = std::max_element(turn.credit.begin(), turn.credit.end());
+    *most -= total;
+    return route.split[static_cast<std::size_t>(most - turn.credit.begin())].service;
+}
+
+} // namespace pimentoward
