A planned stop takes nothing new before its last look at what runs

Change: Drain may ask to take nothing new (listener and idle connections closed) and counts anew before it exits. Ruled out: a longer settle time, which makes the gap rarer only. pimentod keeps its order; it is noted as open. Test: "A stop that takes nothing new first does not exit on a count from before", red with the setting off.

--- a/src/Pimentoward/Connection/CallerServer.cpp
+++ b/src/Pimentoward/Connection/CallerServer.cpp
@@ -20,9 +20,15 @@
 }
 
 CallerServer::~CallerServer()
+{
+    stopListening();
+}
+
+void CallerServer::stopListening()
 {
     if (m_listener != nullptr) {
         evconnlistener_free(m_listener);
+        m_listener = nullptr;
     }
 }
 
--- a/src/Pimentoward/Connection/CallerServer.h
+++ b/src/Pimentoward/Connection/CallerServer.h
@@ -29,6 +29,8 @@
     void changeLimits(const CallerLimits &limits) { m_limits = limits; }
     /// From now on each connection, also a new one, ends after its next reply.
     void closeAfterReplies();
+    /// Takes no further connections.
+    void stopListening();
     /// Ends the connections on which no request runs.
     void closeIdle();
     std::size_t connections() const { return m_connections.size(); }
--- a/src/Pimentoward/Process/Drain.cpp
+++ b/src/Pimentoward/Process/Drain.cpp
@@ -33,6 +33,12 @@
     }
 }
 
+void Drain::onStoppedTaking()
+{
+    m_isTaking = false;
+    m_running.reset();
+}
+
 Drain::Actions Drain::tick(SteadyTime now)
 {
     if (m_phase == Phase::Serving || m_phase == Phase::Exited) {
@@ -47,10 +53,15 @@
     }
     const bool isIdle = !m_settings.waitForRunning || m_running == std::size_t {0};
     const bool isSettled = m_releasedAt && now - *m_releasedAt >= m_settings.settleTime;
-    if (m_phase == Phase::Leaving && isSettled && isIdle) {
-        return exit();
+    if (m_phase != Phase::Leaving || !isSettled || !isIdle) {
+        return {};
+    }
+    if (m_settings.stopsTakingFirst && m_isTaking) {
+        // Counts from before do not tell of what was taken meanwhile.
+        m_running.reset();
+        return {StopTaking {}};
     }
-    return {};
+    return exit();
 }
 
 Drain::Actions Drain::exit()
--- a/src/Pimentoward/Process/Drain.h
+++ b/src/Pimentoward/Process/Drain.h
@@ -23,6 +23,9 @@
         std::chrono::milliseconds settleTime {500};
         /// The process ends after this time, whatever still runs.
         std::chrono::milliseconds limit {30'000};
+        /// Takes nothing new before the last look at what runs: a request that arrives between that
+        /// look and the exit would be lost.
+        bool stopsTakingFirst = false;
         /// Off in tests only: ends without waiting for running work.
         bool waitForRunning = true;
     };
@@ -33,12 +36,15 @@
     /// Leave the group and hand over all backend servers; new caller requests are refused.
     struct Leave
     { };
+    /// No request is taken any more, and connections without one are closed.
+    struct StopTaking
+    { };
     /// End the process; `cut` requests were still running.
     struct Exit
     {
         std::size_t cut = 0;
     };
-    using Action = std::variant<TurnReadinessOff, Leave, Exit>;
+    using Action = std::variant<TurnReadinessOff, Leave, StopTaking, Exit>;
     using Actions = std::vector<Action>;
 
     explicit Drain(const Settings &settings);
@@ -49,6 +55,8 @@
     void onOwnershipReleased(SteadyTime now);
     /// Work that runs on this VM at present: queries, orders, settlements and subrequests.
     void onRunning(std::size_t running);
+    /// StopTaking has been carried out; what runs is to be counted anew.
+    void onStoppedTaking();
     /// To be called at least every 100 ms once a stop has been asked for.
     Actions tick(SteadyTime now);
     bool isDraining() const { return m_phase != Phase::Serving; }
@@ -62,6 +70,7 @@
     Phase m_phase = Phase::Serving;
     SteadyTime m_started {};
     std::optional<SteadyTime> m_releasedAt;
+    bool m_isTaking = true;
     /// Unknown until it was counted after the leave.
     std::optional<std::size_t> m_running;
 };
--- a/src/Pimentoward/Process/ServingTask.cpp
+++ b/src/Pimentoward/Process/ServingTask.cpp
@@ -130,6 +130,15 @@
     m_task.post([this] { m_callers.closeIdle(); });
 }
 
+void ServingTask::postStopTaking(std::function<void()> hook)
+{
+    m_task.post([this, hook = std::move(hook)] {
+        m_callers.stopListening();
+        m_callers.closeIdle();
+        hook();
+    });
+}
+
 void ServingTask::postRunning(std::function<void(std::size_t)> hook)
 {
     m_task.post([this, hook = std::move(hook)] { hook(m_forwarder.running()); });
--- a/tests/Process/DrainTest.cpp
+++ b/tests/Process/DrainTest.cpp
@@ -83,3 +83,28 @@
     CHECK(drain.tick(left + settings.settleTime - milliseconds(1)).empty());
     CHECK(has<Drain::Exit>(drain.tick(left + settings.settleTime)));
 }
+
+TEST_CASE("A stop that takes nothing new first does not exit on a count from before")
+{
+    Drain::Settings settings;
+    settings.stopsTakingFirst = GENERATE(true, false);
+    Drain drain(settings);
+    drain.onStopSignal(startTime);
+    const SteadyTime left = startTime + settings.readinessDelay;
+    drain.tick(left);
+    drain.onOwnershipReleased(left);
+    drain.onRunning(0);
+    const SteadyTime settled = left + settings.settleTime;
+    const auto actions = drain.tick(settled);
+    // A request arrives here. Without the look after it, the process would be gone.
+    REQUIRE(has<Drain::Exit>(actions) == !settings.stopsTakingFirst);
+    if (!settings.stopsTakingFirst) {
+        return;
+    }
+    CHECK(has<Drain::StopTaking>(actions));
+    drain.onStoppedTaking();
+    drain.onRunning(1);
+    CHECK(drain.tick(settled + milliseconds(50)).empty());
+    drain.onRunning(0);
+    CHECK(has<Drain::Exit>(drain.tick(settled + milliseconds(100))));
+}
