Send bytes only on a connection that stands; refuse field names with a space

The new reader test also showed that http_parser takes "Content-Length : 4" as a length, while the field was passed on as another. Change: the request waits in the connection until the hook has run; such a field name is malformed. Ruled out: counting a timed-out opening as "may have run", which would forbid a retry that is safe.

--- a/src/Pimentoward/Connection/BackendConnection.cpp
+++ b/src/Pimentoward/Connection/BackendConnection.cpp
@@ -78,22 +78,32 @@
     m_requestId = exchange.requestId;
     m_requestIdHeader = exchange.requestIdHeader;
     m_reader.expectReplyTo(exchange.method);
-    if (m_isConnected) {
-        m_timer.stop();
+    if (!m_isConnected) {
+        m_unsent = exchange.bytes;
+        return;
     }
+    m_timer.stop();
     bufferevent_write(m_stream, exchange.bytes.data(), exchange.bytes.size());
 }
 
+void BackendConnection::onConnected()
+{
+    m_isConnected = true;
+    setLowDelay(bufferevent_getfd(m_stream));
+    setUserTimeout(bufferevent_getfd(m_stream), backendUserTimeout);
+    m_timer.stop();
+    if (!isBusy()) {
+        m_timer.startOnce(m_idleLimit);
+        return;
+    }
+    bufferevent_write(m_stream, m_unsent.data(), m_unsent.size());
+    m_unsent.clear();
+}
+
 void BackendConnection::onEvent(short what)
 {
     if ((what & BEV_EVENT_CONNECTED) != 0) {
-        m_isConnected = true;
-        setLowDelay(bufferevent_getfd(m_stream));
-        setUserTimeout(bufferevent_getfd(m_stream), backendUserTimeout);
-        m_timer.stop();
-        if (!isBusy()) {
-            m_timer.startOnce(m_idleLimit);
-        }
+        onConnected();
         return;
     }
     m_isSpent = true;
--- a/src/Pimentoward/Connection/BackendConnection.h
+++ b/src/Pimentoward/Connection/BackendConnection.h
@@ -58,6 +58,7 @@
 
 private:
     void onReadable();
+    void onConnected();
     void onEvent(short what);
     void readReplies();
     void onReply(HttpReplyMessage reply);
@@ -72,6 +73,8 @@
     DoneHook m_done;
     RequestId m_requestId;
     std::string_view m_requestIdHeader;
+    /// Written only once the connection stands: until then it is certain that nothing was sent.
+    std::string m_unsent;
     Duration m_idleLimit;
     unsigned m_strayReplies = 0;
     bool m_isConnected = false;
--- a/src/Pimentoward/Connection/HttpReader.cpp
+++ b/src/Pimentoward/Connection/HttpReader.cpp
@@ -28,14 +28,18 @@
     HttpHeaders &headers() { return parser.type == HTTP_REQUEST ? request.headers : reply.headers; }
     std::string &body() { return parser.type == HTTP_REQUEST ? request.body : reply.body; }
 
-    void endHeader()
+    /// The parser lets a space pass before the colon, which others may read as another field.
+    bool endHeader()
     {
+        const bool isSound = headerName.find_first_of(" \t") == std::string::npos
+            && headerValue.find('\0') == std::string::npos;
         if (!headerName.empty()) {
             headers().add(headerName, headerValue);
         }
         headerName.clear();
         headerValue.clear();
         hasValue = false;
+        return isSound;
     }
 
     int countHead(std::size_t size)
@@ -51,7 +55,9 @@
     /// 0 goes on, 1 expects no body; see http_parser's on_headers_complete.
     int onHeadEnd()
     {
-        endHeader();
+        if (!endHeader()) {
+            return -1;
+        }
         headEnded = true;
         if (parser.type == HTTP_RESPONSE) {
             reply.status = parser.status_code;
@@ -125,8 +131,8 @@
     };
     callbacks.on_header_field = [](http_parser *parser, const char *bytes, std::size_t size) {
         State *self = stateOf(parser);
-        if (self->hasValue) {
-            self->endHeader();
+        if (self->hasValue && !self->endHeader()) {
+            return 1;
         }
         self->headerName.append(bytes, size);
         return self->countHead(size);
--- a/src/Pimentoward/Process/TierProcess.cpp
+++ b/src/Pimentoward/Process/TierProcess.cpp
@@ -82,7 +82,8 @@
         } else if (std::holds_alternative<Drain::Leave>(action)) {
             leave();
         } else if (std::holds_alternative<Drain::StopTaking>(action)) {
-            m_serving.postStopTaking([this] { m_main.post([this] { m_drain.onStoppedTaking(); }); });
+            m_serving.postStopTaking(
+                [this] { m_main.post([this] { m_drain.onStoppedTaking(); }); });
         } else if (const auto *exit = std::get_if<Drain::Exit>(&action)) {
             LOG4CPLUS_INFO(processLog(), "event=stopped cut=" << exit->cut);
             event_base_loopbreak(m_main.loop());
--- /dev/null
+++ b/tests/Connection/HttpReaderTest.cpp
@@ -0,0 +1,131 @@
+#include "Pimentoward/Connection/HttpReader.h"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+using namespace pimentoward;
+
+namespace {
+
+constexpr std::size_t headLimit = 300;
+constexpr std::size_t bodyLimit = 100;
+
+/// Reads one message that comes in pieces of `pieceBytes`.
+HttpReader::Progress readInPieces(HttpReader &reader, std::string_view bytes,
+                                  std::size_t pieceBytes)
+{
+    auto progress = HttpReader::Progress::Unfinished;
+    while (!bytes.empty() && progress == HttpReader::Progress::Unfinished) {
+        std::size_t used = 0;
+        progress = reader.read(bytes.substr(0, pieceBytes), used);
+        bytes.remove_prefix(used);
+    }
+    return progress;
+}
+
+HttpReader::Progress readRequest(std::string_view bytes)
+{
+    HttpReader reader(HttpReader::Direction::Requests, {headLimit, bodyLimit});
+    return readInPieces(reader, bytes, bytes.size());
+}
+
+} // namespace
+
+TEST_CASE("A request is read alike however its bytes are cut")
+{
+    const std::string bytes
+        = "POST /a/b?c=d HTTP/1.1\r\nHost: h\r\nX-Empty:\r\nX-Last: two words\r\n"
+          "Content-Length: 4\r\n\r\nbodyGET";
+    for (std::size_t piece = 1; piece <= bytes.size(); ++piece) {
+        HttpReader reader(HttpReader::Direction::Requests, {headLimit, bodyLimit});
+        REQUIRE(readInPieces(reader, bytes, piece) == HttpReader::Progress::Finished);
+        const HttpRequestMessage request = reader.takeRequest();
+        CHECK(request.method == "POST");
+        CHECK(request.target == "/a/b?c=d");
+        CHECK(request.headers.value("host") == "h");
+        CHECK(request.headers.has("X-Empty"));
+        CHECK(request.headers.value("X-Last") == "two words");
+        CHECK(request.body == "body");
+        CHECK(request.keepsConnection);
+    }
+}
+
+TEST_CASE("Requests that follow each other are read one at a time")
+{
+    const std::string bytes = "GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n";
+    HttpReader reader(HttpReader::Direction::Requests, {});
+    std::size_t used = 0;
+    REQUIRE(reader.read(bytes, used) == HttpReader::Progress::Finished);
+    CHECK(reader.takeRequest().target == "/1");
+    CHECK_FALSE(reader.hasBegun());
+    std::size_t more = 0;
+    REQUIRE(reader.read(std::string_view(bytes).substr(used), more)
+            == HttpReader::Progress::Finished);
+    CHECK(reader.takeRequest().target == "/2");
+}
+
+TEST_CASE("What two readers might understand differently is no request")
+{
+    const auto malformed = HttpReader::Progress::Malformed;
+    CHECK(readRequest("GET / HTTP/1.1\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n")
+          == malformed);
+    CHECK(readRequest("GET / HTTP/1.1\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\n")
+          == malformed);
+    CHECK(readRequest("GET / HTTP/1.1\r\nContent-Length : 4\r\n\r\n") == malformed);
+    CHECK(readRequest("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n") == malformed);
+    CHECK(readRequest("nonsense\r\n\r\n") == malformed);
+}
+
+TEST_CASE("Limits of head and body are kept, in chunks too")
+{
+    CHECK(readRequest("GET / HTTP/1.1\r\nX: " + std::string(headLimit, 'a') + "\r\n\r\n")
+          == HttpReader::Progress::HeadTooLong);
+    CHECK(readRequest("POST / HTTP/1.1\r\nContent-Length: 101\r\n\r\n")
+          == HttpReader::Progress::BodyTooLong);
+    CHECK(readRequest("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n65\r\n"
+                      + std::string(101, 'a') + "\r\n0\r\n\r\n")
+          == HttpReader::Progress::BodyTooLong);
+}
+
+TEST_CASE("An interim reply is passed over, and a reply to HEAD has no body")
+{
+    HttpReader reader(HttpReader::Direction::Replies, {});
+    const std::string bytes = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n";
+    std::size_t used = 0;
+    REQUIRE(reader.read(bytes, used) == HttpReader::Progress::Finished);
+    CHECK(reader.takeReply().status == 204);
+    reader.expectReplyTo("HEAD");
+    REQUIRE(reader.read("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n", used)
+            == HttpReader::Progress::Finished);
+    CHECK(reader.takeReply().body.empty());
+}
+
+TEST_CASE("Mutated requests and replies are read or refused, and never more than came is used")
+{
+    const std::vector<std::string> seeds = {
+        "POST /a/ HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody",
+        "GET /a/ HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nConnection: close\r\n\r\nbody",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"};
+    std::mt19937 random(1);
+    constexpr int inputs = 100'000;
+    for (int input = 0; input < inputs; ++input) {
+        std::string bytes = seeds[random() % seeds.size()];
+        for (unsigned change = random() % 4; change > 0; --change) {
+            bytes[random() % bytes.size()] = static_cast<char>(random());
+        }
+        const auto direction
+            = random() % 2 == 0 ? HttpReader::Direction::Requests : HttpReader::Direction::Replies;
+        HttpReader reader(direction, {headLimit, bodyLimit});
+        std::size_t used = 0;
+        const auto progress = reader.read(bytes, used);
+        REQUIRE(used <= bytes.size());
+        if (progress == HttpReader::Progress::Finished) {
+            const std::string body = direction == HttpReader::Direction::Requests
+                ? reader.takeRequest().body
+                : reader.takeReply().body;
+            REQUIRE(body.size() <= bodyLimit);
+        }
+    }
+}
