--- a/src/Pimentoward/Request/Forwarder.cpp
+++ b/src/Pimentoward/Request/Forwarder.cpp
@@ -345,13 +345,14 @@
                        << request.id << " route=" << request.route->name << " settings="
                        << request.routes->version() << " status=" << outcome.reply.status
                        << " code=" << static_cast<int>(outcome.reason.code)
-                       << " ms=" << milliseconds(now - request.readAt) << " left_ms="
-                       << milliseconds(request.deadline - now) << " parts=" << outcome.parts
-                       << " missing=" << outcome.missing << " sends=" << outcome.sends
-                       << " hedges=" << outcome.hedges << " retries=" << outcome.retries
-                       << " hedge_after_ms=" << milliseconds(request.hedgeDelay) << " reason=\""
-                       << outcome.reason.text << "\" last_failure=\"" << outcome.lastFailure
-                       << '"');
+                       << " ms=" << milliseconds(now - request.readAt)
+                       << " left_ms=" << milliseconds(request.deadline - now)
+                       << " parts=" << outcome.parts << " missing=" << outcome.missing
+                       << " missing_services=" << outcome.missingServices
+                       << " sends=" << outcome.sends << " hedges=" << outcome.hedges << " retries="
+                       << outcome.retries << " hedge_after_ms=" << milliseconds(request.hedgeDelay)
+                       << " reason=\"" << outcome.reason.text << "\" last_failure=\""
+                       << outcome.lastFailure << '"');
 }
 
 void Forwarder::detachExchanges(ActiveRequest &request, Duration keepFor)
--- a/src/Pimentoward/Request/Gather.cpp
+++ b/src/Pimentoward/Request/Gather.cpp
@@ -280,6 +280,7 @@
     m_isFinished = true;
     GatherOutcome outcome = m_counts;
     outcome.missing = m_parts.size() - answered();
+    outcome.missingServices = missingServices();
     if (!m_plan.isFanout) {
         answerAlone(outcome, now);
     } else if (coversEnough()) {
@@ -290,6 +291,20 @@
     actions.emplace_back(GatherFinish {std::move(outcome)});
 }
 
+std::string Gather::missingServices() const
+{
+    constexpr std::size_t mostNamed = 8;
+    std::string names;
+    std::size_t named = 0;
+    for (std::size_t index = 0; index < m_parts.size() && named < mostNamed; ++index) {
+        if (!m_parts[index].answer) {
+            names += (named == 0 ? "" : ",") + m_plan.parts[index];
+            ++named;
+        }
+    }
+    return names;
+}
+
 void Gather::answerAlone(GatherOutcome &outcome, SteadyTime now)
 {
     Part &part = m_parts.front();
--- a/src/Pimentoward/Request/Gather.h
+++ b/src/Pimentoward/Request/Gather.h
@@ -99,6 +99,7 @@
     bool isSettled(const Part &part) const;
     bool hasRun() const;
     std::size_t answered() const;
+    std::string missingServices() const;
     bool coversEnough() const;
     bool canStillCover() const;
     GatherActions conclude(GatherActions actions, SteadyTime now);
--- a/src/Pimentoward/Request/GatherTypes.h
+++ b/src/Pimentoward/Request/GatherTypes.h
@@ -81,6 +81,8 @@
     Reason reason;
     std::size_t parts = 0;
     std::size_t missing = 0;
+    /// Services of the missing parts, joined by commas; the first few only.
+    std::string missingServices;
     unsigned sends = 0;
     unsigned hedges = 0;
     unsigned retries = 0;
