Rule tests on stand-ins of the platform; usual times known after 20 parts

The first run of the new tests showed one flaw: until a route's usual time was known (100 parts), a new backend server seemed slower than all known ones and got nothing. Usual time after 20 parts. Ruled out: an initial slowness of 0 for unknown servers, which would send everybody to a new one at once.

--- a/src/Pimentoward/Connection/HttpServer.cpp
+++ b/src/Pimentoward/Connection/HttpServer.cpp
@@ -4,7 +4,9 @@
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
+#include <netinet/in.h>
 #include <nlohmann/json.hpp>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <cctype>
@@ -108,6 +110,32 @@
     m_routes[path][method] = std::move(handler);
 }
 
+void HttpServer::routeBelow(const std::string &method, const std::string &prefix, Handler handler)
+{
+    m_prefixes[prefix][method] = std::move(handler);
+}
+
+const HttpServer::Methods *HttpServer::methodsOf(const std::string &path) const
+{
+    if (const auto found = m_routes.find(path); found != m_routes.end()) {
+        return &found->second;
+    }
+    for (const auto &[prefix, methods] : m_prefixes) {
+        if (path.compare(0, prefix.size(), prefix) == 0) {
+            return &methods;
+        }
+    }
+    return nullptr;
+}
+
+std::uint16_t HttpServer::port() const
+{
+    sockaddr_in local {};
+    socklen_t size = sizeof(local);
+    getsockname(evhttp_bound_socket_get_fd(m_socket), reinterpret_cast<sockaddr *>(&local), &size);
+    return ntohs(local.sin_port);
+}
+
 void HttpServer::watchConnections(std::function<void(evhttp_connection *)> hook)
 {
     m_connectionHook = std::move(hook);
@@ -159,15 +187,15 @@
     if (m_connectionHook) {
         m_connectionHook(evhttp_request_get_connection(request));
     }
-    const auto path = m_routes.find(parsed.path);
-    if (path == m_routes.end()) {
+    const Methods *methods = methodsOf(parsed.path);
+    if (methods == nullptr) {
         sendAnswer(request, errorAnswer({ResultCode::UnknownPath, {}}));
         return;
     }
-    const auto method = path->second.find(parsed.method);
-    if (method == path->second.end()) {
+    const auto method = methods->find(parsed.method);
+    if (method == methods->end()) {
         std::string allowed;
-        for (const auto &[name, handler] : path->second) {
+        for (const auto &[name, handler] : *methods) {
             allowed += (allowed.empty() ? "" : ", ") + name;
         }
         HttpAnswer answer = errorAnswer({ResultCode::MethodNotAllowed, "use " + allowed});
--- a/src/Pimentoward/Connection/HttpServer.h
+++ b/src/Pimentoward/Connection/HttpServer.h
@@ -34,10 +34,14 @@
 
     /// Serves `path` for one method. Unknown paths and methods get a numbered refusal.
     void route(const std::string &method, const std::string &path, Handler handler);
+    /// Serves for one method every path that begins with `prefix` and is no path of its own.
+    void routeBelow(const std::string &method, const std::string &prefix, Handler handler);
     /// Runs `hook` before each handler, with the connection that its request came on.
     void watchConnections(std::function<void(evhttp_connection *)> hook);
     /// Binds the address; false with InvalidSetting in `reason` where that fails.
     bool listen(const Address &address, Reason &reason);
+    /// The port that listen() has bound; of use where it was asked for port 0.
+    std::uint16_t port() const;
     /// Takes no further connections; running requests go on.
     void stopListening();
     /// Requests that have no answer yet.
@@ -52,7 +56,11 @@
 
     evhttp *m_http;
     evhttp_bound_socket *m_socket = nullptr;
-    std::map<std::string, std::map<std::string, Handler>> m_routes;
+    using Methods = std::map<std::string, Handler>;
+    const Methods *methodsOf(const std::string &path) const;
+
+    std::map<std::string, Methods> m_routes;
+    std::map<std::string, Methods> m_prefixes;
     std::function<void(evhttp_connection *)> m_connectionHook;
     std::shared_ptr<std::size_t> m_openRequests;
 };
--- a/src/Pimentoward/Request/ActiveRequest.h
+++ b/src/Pimentoward/Request/ActiveRequest.h
@@ -15,8 +15,8 @@
 struct ActiveRequest
 {
     ActiveRequest(event_base *loop, GatherPlan plan, const Gather::Environment &environment,
-                  std::function<void()> onTimer)
-        : gather(std::move(plan), environment)
+                  const Gather::Checks &checks, std::function<void()> onTimer)
+        : gather(std::move(plan), environment, checks)
         , timer(loop, std::move(onTimer))
     { }
 
--- a/src/Pimentoward/Request/Forwarder.cpp
+++ b/src/Pimentoward/Request/Forwarder.cpp
@@ -94,6 +94,9 @@
     if (!canServe()) {
         return;
     }
+    if (!m_settings.checks.outOfService && m_fleet.size() > 0) {
+        return;
+    }
     m_fleet.update(m_backends, m_routes, m_members);
     for (const auto &[service, records] : m_backends->byService) {
         m_hasRoom.insert(service);
@@ -185,11 +188,12 @@
     }
     const SteadyTime deadline = plan.deadline;
     const Duration hedgeDelay = plan.hedgeDelay;
-    auto owned = std::make_unique<ActiveRequest>(
-        m_loop, std::move(plan), m_environment, [this, key = &caller] {
-            ActiveRequest &request = *m_requests.at(key);
-            carryOut(request, request.gather.onTimer(std::chrono::steady_clock::now()));
-        });
+    const auto onTimer = [this, key = &caller] {
+        ActiveRequest &timed = *m_requests.at(key);
+        carryOut(timed, timed.gather.onTimer(std::chrono::steady_clock::now()));
+    };
+    auto owned = std::make_unique<ActiveRequest>(m_loop, std::move(plan), m_environment,
+                                                 m_settings.checks.gather, onTimer);
     ActiveRequest &request = *owned;
     request.caller = &caller;
     request.routes = m_routes;
@@ -227,7 +231,9 @@
     const Duration left = std::max(request.deadline - now, Duration(std::chrono::milliseconds(1)));
     std::string bytes = request.head;
     bytes += m_settings.headers.timeLeft + ": " + std::to_string(milliseconds(left)) + "\r\n";
-    bytes += m_settings.headers.expectedBackend + ": " + to + "\r\n";
+    if (m_settings.checks.expectedBackend) {
+        bytes += m_settings.headers.expectedBackend + ": " + to + "\r\n";
+    }
     appendBody(bytes, request.method, request.body);
     return bytes;
 }
@@ -265,7 +271,9 @@
     message.bytes = bytesFor(request, send.to, now);
     message.method = request.method;
     message.requestId = request.id;
-    message.requestIdHeader = m_settings.headers.requestId;
+    if (m_settings.checks.replyIdentity) {
+        message.requestIdHeader = m_settings.headers.requestId;
+    }
     position->connection
         = link->send(message, [this, position](ExchangeEnd end, HttpReplyMessage reply) {
               onExchangeEnded(position, end, std::move(reply));
@@ -394,7 +402,8 @@
                                                 << " ms=" << milliseconds(age));
     m_metrics.counter("pimentoward_callers_gone_total", "Callers that left before the answer")
         .add();
-    detachExchanges(request, m_settings.callerGoneTime);
+    detachExchanges(
+        request, m_settings.checks.callerGone ? m_settings.callerGoneTime : std::chrono::hours(1));
     remove(request);
 }
 
--- a/src/Pimentoward/Request/Forwarder.h
+++ b/src/Pimentoward/Request/Forwarder.h
@@ -18,6 +18,20 @@
 
 namespace pimentoward {
 
+/// Each check may be switched off by tests that show what it prevents.
+struct ForwarderChecks
+{
+    Gather::Checks gather;
+    /// A reply must name the request that it answers.
+    bool replyIdentity = true;
+    /// A request names the backend server that it is meant for.
+    bool expectedBackend = true;
+    /// Work for a caller that has left is given up.
+    bool callerGone = true;
+    /// Backend servers out of service get nothing new.
+    bool outOfService = true;
+};
+
 /// What a Forwarder is built from.
 struct ForwarderSettings
 {
@@ -36,6 +50,7 @@
     Duration lateReplyTime = std::chrono::milliseconds(400);
     /// The same after the caller has left.
     Duration callerGoneTime = std::chrono::milliseconds(250);
+    ForwarderChecks checks;
 };
 
 /// Carries callers' requests to backend servers and back: asks the decision classes and does what
--- a/src/Pimentoward/Request/Gather.cpp
+++ b/src/Pimentoward/Request/Gather.cpp
@@ -338,7 +338,7 @@
 {
     HttpReplyMessage reply;
     const std::string why = m_counts.lastFailure.empty() ? "" : ": " + m_counts.lastFailure;
-    if (!hasRun()) {
+    if (!hasRun() || !m_checks.trueNotRun) {
         reply.status = statusUnavailable;
         reply.headers.add("Retry-After", retryAfterSeconds);
         reason = {ResultCode::NotRunOverloaded, "not run" + why};
--- a/src/Pimentoward/Request/Gather.h
+++ b/src/Pimentoward/Request/Gather.h
@@ -45,6 +45,8 @@
         bool atMostOnce = true;
         /// A success needs the least coverage.
         bool coverage = true;
+        /// "Not run" is said only where nothing can have run.
+        bool trueNotRun = true;
         /// Extra requests are taken from the shared budget.
         bool budget = true;
     };
--- a/src/Pimentoward/Request/RouteLatencies.cpp
+++ b/src/Pimentoward/Request/RouteLatencies.cpp
@@ -25,7 +25,9 @@
 
 void RouteLatencies::add(const Route &route, Duration time)
 {
-    m_byRoute[route.name].add(time);
+    LatencyEstimate::Settings settings;
+    settings.fewestSamples = m_settings.fewestSamples;
+    m_byRoute.try_emplace(route.name, settings).first->second.add(time);
 }
 
 Duration RouteLatencies::usual(const Route &route) const
--- a/src/Pimentoward/Request/RouteLatencies.h
+++ b/src/Pimentoward/Request/RouteLatencies.h
@@ -24,6 +24,8 @@
         double leastMultiple = 1.5;
         /// Never later than this share of the objective, which a hedge must still meet.
         double latestShare = 0.45;
+        /// Parts without which nothing is known of a route.
+        double fewestSamples = 20;
         /// Usual time as a share of the objective, until it is known.
         double firstShare = 0.2;
     };
--- /dev/null
+++ b/standins/ShardServer.cpp
@@ -0,0 +1,342 @@
+#include "standins/ShardServer.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cstdlib>
+
+namespace pimentoward::standins {
+
+namespace {
+
+constexpr int statusOk = 200;
+constexpr int statusBadRequest = 400;
+constexpr int statusMisdirected = 421;
+constexpr int statusFailed = 500;
+constexpr int statusUnavailable = 503;
+constexpr const char *healthPath = "/health";
+constexpr std::size_t recordSize = 16;
+
+} // namespace
+
+struct ShardServer::Peer
+{
+    ShardServer *server = nullptr;
+    bufferevent *stream = nullptr;
+    HttpReader reader {HttpReader::Direction::Requests, {}};
+    bool isBusy = false;
+
+    ~Peer()
+    {
+        if (stream != nullptr) {
+            bufferevent_free(stream);
+        }
+    }
+
+    void write(const std::string &bytes) const
+    {
+        bufferevent_write(stream, bytes.data(), bytes.size());
+    }
+
+    void end() const
+    {
+        const auto onWritten
+            = [](bufferevent *written, void *) { shutdown(bufferevent_getfd(written), SHUT_WR); };
+        bufferevent_setcb(stream, nullptr, onWritten, &Peer::onEvent, const_cast<Peer *>(this));
+        bufferevent_trigger(stream, EV_WRITE, 0);
+    }
+
+    void resetOnClose() const
+    {
+        const linger atOnce {1, 0};
+        setsockopt(bufferevent_getfd(stream), SOL_SOCKET, SO_LINGER, &atOnce, sizeof(atOnce));
+    }
+
+    void readNext()
+    {
+        evbuffer *input = bufferevent_get_input(stream);
+        while (!isBusy && evbuffer_get_length(input) > 0) {
+            evbuffer_iovec piece {};
+            evbuffer_peek(input, -1, nullptr, &piece, 1);
+            std::size_t used = 0;
+            const auto progress
+                = reader.read({static_cast<const char *>(piece.iov_base), piece.iov_len}, used);
+            evbuffer_drain(input, used);
+            if (progress == HttpReader::Progress::Finished) {
+                server->onRequest(*this, reader.takeRequest());
+                return;
+            }
+            if (progress != HttpReader::Progress::Unfinished) {
+                server->remove(*this);
+                return;
+            }
+        }
+    }
+
+    static void onRead(bufferevent *, void *self) { static_cast<Peer *>(self)->readNext(); }
+    static void onEvent(bufferevent *, short, void *self)
+    {
+        auto *peer = static_cast<Peer *>(self);
+        peer->server->drop(*peer);
+    }
+};
+
+ShardServer::ShardServer(event_base *loop, const Settings &settings)
+    : m_loop(loop)
+    , m_settings(settings)
+{ }
+
+ShardServer::~ShardServer()
+{
+    crash();
+}
+
+bool ShardServer::listen(Reason &reason)
+{
+    sockaddr_in local {};
+    local.sin_family = AF_INET;
+    local.sin_port = htons(m_settings.address.port);
+    inet_pton(AF_INET, m_settings.address.host.c_str(), &local.sin_addr);
+    const auto onAccept = [](evconnlistener *, evutil_socket_t socket, sockaddr *, int,
+                             void *self) { static_cast<ShardServer *>(self)->accept(socket); };
+    m_listener
+        = evconnlistener_new_bind(m_loop, onAccept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+                                  -1, reinterpret_cast<const sockaddr *>(&local), sizeof(local));
+    if (m_listener == nullptr) {
+        reason = {ResultCode::InvalidSetting, "cannot listen on " + m_settings.address.toString()};
+        return false;
+    }
+    socklen_t size = sizeof(local);
+    getsockname(evconnlistener_get_fd(m_listener), reinterpret_cast<sockaddr *>(&local), &size);
+    m_settings.address.port = ntohs(local.sin_port);
+    return true;
+}
+
+void ShardServer::crash()
+{
+    if (m_listener != nullptr) {
+        evconnlistener_free(m_listener);
+        m_listener = nullptr;
+    }
+    m_jobs.clear();
+    m_queued.clear();
+    m_peers.clear();
+    m_working = 0;
+}
+
+void ShardServer::accept(int socket)
+{
+    if (m_peers.size() >= m_settings.maxConnections) {
+        ++m_resetOverLimit;
+        const linger atOnce {1, 0};
+        setsockopt(socket, SOL_SOCKET, SO_LINGER, &atOnce, sizeof(atOnce));
+        evutil_closesocket(socket);
+        return;
+    }
+    auto peer = std::make_unique<Peer>();
+    peer->server = this;
+    peer->stream = bufferevent_socket_new(m_loop, socket, BEV_OPT_CLOSE_ON_FREE);
+    const int on = 1;
+    setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    bufferevent_setcb(peer->stream, &Peer::onRead, nullptr, &Peer::onEvent, peer.get());
+    bufferevent_enable(peer->stream, EV_READ | EV_WRITE);
+    m_peers.push_back(std::move(peer));
+    m_mostConnections = std::max(m_mostConnections, m_peers.size());
+}
+
+void ShardServer::onRequest(Peer &peer, HttpRequestMessage request)
+{
+    if (request.target == healthPath) {
+        HttpReplyMessage healthy;
+        healthy.headers.add("X-Instance-Id", m_settings.id);
+        peer.write(serialize(healthy, request.method));
+        return;
+    }
+    ++m_arrivals;
+    const std::string_view expected = request.headers.value(m_settings.headers.expectedBackend);
+    if (!expected.empty() && expected != m_settings.id) {
+        refuse(peer, statusMisdirected);
+        return;
+    }
+    if (!request.headers.has(m_settings.headers.requestId)) {
+        refuse(peer, statusBadRequest);
+        return;
+    }
+    if (m_fault(request) == Fault::Shed || m_queued.size() >= m_settings.queue) {
+        refuse(peer, statusUnavailable);
+        return;
+    }
+    peer.isBusy = true;
+    if (m_working >= m_settings.slots) {
+        m_queued.emplace_back(&peer, std::move(request));
+        return;
+    }
+    begin(peer, std::move(request));
+}
+
+void ShardServer::begin(Peer &peer, HttpRequestMessage request)
+{
+    ++m_working;
+    const SteadyTime now = std::chrono::steady_clock::now();
+    Run run;
+    run.requestId = request.headers.value(m_settings.headers.requestId);
+    run.method = request.method;
+    run.target = request.target;
+    run.body = request.body;
+    run.timeLeft = std::chrono::milliseconds(
+        std::atoll(std::string(request.headers.value(m_settings.headers.timeLeft)).c_str()));
+    run.started = now;
+    m_runs.push_back(run);
+    m_jobs.emplace_back();
+    Job &job = m_jobs.back();
+    job.peer = &peer;
+    job.fault = m_fault(request);
+    job.request = std::move(request);
+    job.run = m_runs.size() - 1;
+    job.timer = std::make_unique<Timer>(m_loop, [this, &job] { finish(job); });
+    const Duration pause = std::max(m_pausedUntil - now, Duration::zero());
+    job.timer->startOnce(m_settings.workTime + pause);
+}
+
+void ShardServer::pause(std::chrono::milliseconds time)
+{
+    const SteadyTime now = std::chrono::steady_clock::now();
+    m_pausedUntil = now + time;
+    for (Job &job : m_jobs) {
+        job.timer->startOnce(time + m_settings.workTime);
+    }
+}
+
+void ShardServer::finish(Job &job)
+{
+    m_runs[job.run].ended = std::chrono::steady_clock::now();
+    --m_working;
+    Peer *peer = job.peer;
+    const HttpRequestMessage request = std::move(job.request);
+    const Fault fault = job.fault;
+    m_jobs.remove_if([&](const Job &entry) { return &entry == &job; });
+    peer->isBusy = false;
+    beginNext();
+    reply(*peer, request, fault);
+}
+
+void ShardServer::beginNext()
+{
+    if (m_queued.empty() || m_working >= m_settings.slots) {
+        return;
+    }
+    auto [peer, request] = std::move(m_queued.front());
+    m_queued.pop_front();
+    begin(*peer, std::move(request));
+}
+
+HttpReplyMessage ShardServer::makeReply(const std::string &requestId) const
+{
+    HttpReplyMessage reply;
+    reply.status = statusOk;
+    reply.headers.add(m_settings.headers.requestId, requestId);
+    reply.headers.add(m_settings.headers.signature,
+                      m_settings.id + "." + requestId + "." + std::to_string(m_lastReply));
+    for (std::size_t index = 0; index < m_settings.records; ++index) {
+        std::string record = std::to_string(index) + m_settings.service + requestId;
+        record.resize(recordSize, '.');
+        reply.body += record;
+    }
+    return reply;
+}
+
+void ShardServer::reply(Peer &peer, const HttpRequestMessage &request, Fault fault)
+{
+    ++m_lastReply;
+    HttpReplyMessage good
+        = makeReply(std::string(request.headers.value(m_settings.headers.requestId)));
+    const std::string bytes = serialize(good, request.method);
+    const HttpReplyMessage other = makeReply("of-another");
+    switch (fault) {
+    case Fault::CutReply:
+        peer.write(bytes.substr(0, bytes.size() - good.body.size() / 2 - 1));
+        peer.end();
+        return;
+    case Fault::Garbage:
+        peer.write("\x01\x02garbage\r\n\r\n");
+        peer.end();
+        return;
+    case Fault::ExtraReply:
+        peer.write(bytes + serialize(other, request.method));
+        return;
+    case Fault::StrayReply:
+        peer.write(serialize(other, request.method) + bytes);
+        return;
+    case Fault::NoLength: {
+        std::string unframed = bytes;
+        const std::size_t start = unframed.find("Content-Length");
+        unframed.erase(start, unframed.find("\r\n", start) + 2 - start);
+        peer.write(unframed);
+        peer.end();
+        return;
+    }
+    case Fault::LostReply:
+        peer.resetOnClose();
+        remove(peer);
+        return;
+    case Fault::Failure:
+        good.status = statusFailed;
+        peer.write(serialize(good, request.method));
+        return;
+    case Fault::Unsigned:
+        good.headers.remove(m_settings.headers.signature);
+        peer.write(serialize(good, request.method));
+        return;
+    case Fault::Encoded:
+        good.headers.add("Content-Encoding", "gzip");
+        peer.write(serialize(good, request.method));
+        return;
+    case Fault::Mute:
+    case Fault::Shed:
+        return;
+    case Fault::None:
+        peer.write(bytes);
+        peer.readNext();
+        return;
+    }
+}
+
+void ShardServer::refuse(Peer &peer, int status)
+{
+    HttpReplyMessage reply;
+    reply.status = status;
+    reply.headers.add(m_settings.headers.notRun, "1");
+    peer.write(serialize(reply, "GET"));
+}
+
+void ShardServer::drop(Peer &peer)
+{
+    // The work for a caller that has left ends.
+    const auto isOf = [&](const Job &job) { return job.peer == &peer; };
+    for (const Job &job : m_jobs) {
+        if (isOf(job)) {
+            m_runs[job.run].ended = std::chrono::steady_clock::now();
+            --m_working;
+        }
+    }
+    m_jobs.remove_if(isOf);
+    remove(peer);
+    beginNext();
+}
+
+void ShardServer::remove(Peer &peer)
+{
+    m_queued.erase(std::remove_if(m_queued.begin(), m_queued.end(),
+                                  [&](const auto &entry) { return entry.first == &peer; }),
+                   m_queued.end());
+    m_peers.remove_if([&](const auto &entry) { return entry.get() == &peer; });
+}
+
+} // namespace pimentoward::standins
--- /dev/null
+++ b/tests/Process/TierRulesTest.cpp
@@ -0,0 +1,455 @@
+#include "platform/WireNames.h"
+#include "tests/support/TierWorld.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <random>
+#include <set>
+
+using namespace pimentoward;
+using namespace pimentoward::standins;
+using namespace std::chrono_literals;
+
+// What callers and backend servers must see, whatever fails. Each case also runs with the mechanism
+// off that keeps the promise, and must then see it broken.
+
+namespace {
+
+using Fault = ShardServer::Fault;
+
+TierWorld::Request request(const std::string &path, std::size_t vm = 0)
+{
+    TierWorld::Request request;
+    request.path = path;
+    request.vm = vm;
+    return request;
+}
+
+/// How often each request of `service` was run, by request id.
+std::map<std::string, int> runsOf(TierWorld &world, const std::string &service)
+{
+    std::map<std::string, int> runs;
+    for (const ShardServer *server : world.servers(service)) {
+        for (const ShardServer::Run &run : server->runs()) {
+            ++runs[run.requestId];
+        }
+    }
+    return runs;
+}
+
+/// Meets each share of requests with a fault drawn from `faults`.
+void addFaults(TierWorld &world, const std::vector<Fault> &faults, double share)
+{
+    const auto random = std::make_shared<std::mt19937>(7);
+    for (ShardServer *server : world.allServers()) {
+        server->changeFault([random, faults, share](const HttpRequestMessage &) {
+            const bool isMet = std::uniform_real_distribution<double>(0, 1)(*random) < share;
+            return isMet ? faults[(*random)() % faults.size()] : Fault::None;
+        });
+    }
+}
+
+std::vector<std::string> partSignatures(const TierWorld::Outcome &outcome)
+{
+    std::vector<std::string> parts;
+    std::string text(outcome.reply.headers.value(platform::wire::forwardHeaders().partSignatures));
+    for (std::size_t start = 0; start < text.size();) {
+        const std::size_t end = std::min(text.find(", ", start), text.size());
+        parts.push_back(text.substr(start, end - start));
+        start = end + 2;
+    }
+    return parts;
+}
+
+/// True where a success is whole, of this request, and honest about what it covers.
+bool isHonest(const TierWorld::Outcome &outcome, std::size_t shards)
+{
+    std::set<std::string> services;
+    for (const std::string &signature : partSignatures(outcome)) {
+        if (signature.find("." + outcome.requestId + ".") == std::string::npos) {
+            return false;
+        }
+        services.insert(signature.substr(0, signature.find('-')));
+    }
+    const std::size_t parts = partSignatures(outcome).size();
+    const std::string missing(
+        outcome.reply.headers.value(platform::wire::forwardHeaders().missingParts));
+    const bool countsAll = parts + std::stoul(missing) == shards && services.size() == parts;
+    const bool isWholeBody = outcome.reply.body.size() == std::min<std::size_t>(8, 4 * parts) * 16;
+    const bool isOwnBody = outcome.reply.body.find(outcome.requestId) != std::string::npos;
+    return countsAll && isWholeBody && isOwnBody && parts * 10 >= shards * 6;
+}
+
+/// Successes whose content is not what their request asked for.
+std::size_t wrongSuccesses(TierWorld &world, std::size_t requests)
+{
+    std::vector<TierWorld::Outcome *> outcomes;
+    for (std::size_t index = 0; index < requests; ++index) {
+        outcomes.push_back(&world.send(request(index % 3 == 0 ? "/one/x" : "/all/x")));
+        world.run(3ms);
+    }
+    world.runUntilEnded();
+    std::size_t wrong = 0;
+    for (std::size_t index = 0; index < requests; ++index) {
+        const TierWorld::Outcome &outcome = *outcomes[index];
+        if (outcome.status != 200) {
+            continue;
+        }
+        const bool isOwn
+            = outcome.reply.headers.value("X-Response-Stamp").find("." + outcome.requestId + ".")
+            != std::string_view::npos;
+        wrong += (index % 3 == 0 ? isOwn : isHonest(outcome, 5)) ? 0 : 1;
+    }
+    return wrong;
+}
+
+} // namespace
+
+TEST_CASE("MIXED: faulty replies never reach a caller as a success", "[rules]")
+{
+    const bool isOn = GENERATE(true, false);
+    TierWorld::Settings settings;
+    settings.adjust
+        = [isOn](ServingTaskSettings &serving) { serving.forwarder.checks.replyIdentity = isOn; };
+    TierWorld world(settings);
+    REQUIRE(world.waitUntilKnown());
+    addFaults(world,
+              {Fault::CutReply, Fault::Garbage, Fault::ExtraReply, Fault::StrayReply,
+               Fault::NoLength, Fault::LostReply, Fault::Failure, Fault::Unsigned, Fault::Encoded,
+               Fault::Shed},
+              0.2);
+    const std::size_t wrong = wrongSuccesses(world, 200);
+    CHECK((wrong == 0) == isOn);
+}
+
+TEST_CASE("MIXED: an answer that covers too little is no success", "[rules]")
+{
+    const bool isOn = GENERATE(true, false);
+    TierWorld::Settings settings;
+    settings.adjust
+        = [isOn](ServingTaskSettings &serving) { serving.forwarder.checks.gather.coverage = isOn; };
+    TierWorld world(settings);
+    REQUIRE(world.waitUntilKnown());
+    for (std::size_t shard = 0; shard < 3; ++shard) {
+        for (ShardServer *server : world.servers(TierWorld::shardName(shard))) {
+            server->changeFault([](const HttpRequestMessage &) { return Fault::Failure; });
+        }
+    }
+    const TierWorld::Outcome outcome = world.ask(request("/all/x"));
+    CHECK((outcome.status != 200) == isOn);
+}
+
+TEST_CASE("UNASKED: backend servers get each request as its caller sent it", "[rules]")
+{
+    TierWorld world({});
+    REQUIRE(world.waitUntilKnown());
+    TierWorld::Request sent = request("/once/a%20b/c?d=e&f=%2F");
+    sent.method = "POST";
+    sent.body = std::string(40'000, 'x') + "end";
+    const TierWorld::Outcome outcome = world.ask(sent);
+    REQUIRE(outcome.status == 200);
+    std::size_t runs = 0;
+    for (const ShardServer *server : world.servers("single")) {
+        for (const ShardServer::Run &run : server->runs()) {
+            ++runs;
+            CHECK(run.requestId == outcome.requestId);
+            CHECK(run.method == sent.method);
+            CHECK(run.target == sent.path);
+            CHECK(run.body == sent.body);
+            CHECK(run.timeLeft <= sent.timeLeft);
+        }
+    }
+    CHECK(runs == 1);
+}
+
+TEST_CASE("TWICE and REFUSED: what may not be repeated runs once, and \"not run\" is true",
+          "[rules]")
+{
+    const bool isOnce = GENERATE(true, false);
+    const bool isTrue = GENERATE(true, false);
+    TierWorld::Settings settings;
+    settings.adjust = [&](ServingTaskSettings &serving) {
+        serving.forwarder.checks.gather.atMostOnce = isOnce;
+        serving.forwarder.checks.gather.trueNotRun = isTrue;
+    };
+    TierWorld world(settings);
+    REQUIRE(world.waitUntilKnown());
+    addFaults(world, {Fault::LostReply, Fault::CutReply, Fault::Shed, Fault::Garbage}, 0.4);
+    std::vector<TierWorld::Outcome *> outcomes;
+    for (int index = 0; index < 60; ++index) {
+        TierWorld::Request sent = request("/once/x");
+        sent.method = "POST";
+        sent.body = "order";
+        outcomes.push_back(&world.send(sent));
+        world.run(4ms);
+    }
+    world.runUntilEnded();
+    const auto runs = runsOf(world, "single");
+    const auto twice = std::count_if(runs.begin(), runs.end(),
+                                     [](const auto &entry) { return entry.second > 1; });
+    const auto untrue
+        = std::count_if(outcomes.begin(), outcomes.end(), [&](const TierWorld::Outcome *outcome) {
+              return outcome->status == 503 && runs.count(outcome->requestId) > 0;
+          });
+    CHECK((twice == 0) == isOnce);
+    CHECK((untrue == 0) == isTrue);
+}
+
+TEST_CASE("BUDGET: hedges and retries of all VMs keep their common bound", "[rules]")
+{
+    const bool isOn = GENERATE(true, false);
+    constexpr double ratio = 0.2;
+    constexpr double slack = 6;
+    TierWorld::Settings settings;
+    settings.vms = 2;
+    settings.adjust = [&](ServingTaskSettings &serving) {
+        serving.forwarder.retryBudget.ratio = ratio;
+        serving.forwarder.retryBudget.fixedForAll = slack;
+        serving.forwarder.checks.gather.budget = isOn;
+    };
+    TierWorld world(settings);
+    REQUIRE(world.waitUntilKnown());
+    addFaults(world, {Fault::LostReply, Fault::Shed, Fault::Failure}, 0.6);
+    constexpr int requests = 100;
+    for (int index = 0; index < requests; ++index) {
+        world.send(request("/all/x", static_cast<std::size_t>(index % 2)));
+        world.run(5ms);
+    }
+    world.runUntilEnded();
+    bool isKept = true;
+    for (std::size_t shard = 0; shard < 5; ++shard) {
+        std::uint64_t arrivals = 0;
+        for (const ShardServer *server : world.servers(TierWorld::shardName(shard))) {
+            arrivals += server->arrivals();
+        }
+        isKept = isKept && arrivals <= requests * (1 + ratio) + slack;
+    }
+    CHECK(isKept == isOn);
+}
+
+TEST_CASE("BUDGET: backend servers are handed no more time than is left", "[rules]")
+{
+    TierWorld world({});
+    REQUIRE(world.waitUntilKnown());
+    addFaults(world, {Fault::Shed}, 0.3);
+    for (int index = 0; index < 20; ++index) {
+        TierWorld::Request sent = request("/all/x");
+        sent.timeLeft = 400ms;
+        world.send(sent);
+        world.run(5ms);
+    }
+    world.runUntilEnded();
+    for (const ShardServer *server : world.allServers()) {
+        for (const ShardServer::Run &run : server->runs()) {
+            CHECK(run.timeLeft <= 400ms);
+        }
+    }
+}
+
+TEST_CASE("GONE: work for a caller that has left ends within half a second", "[rules]")
+{
+    const bool isOn = GENERATE(true, false);
+    TierWorld::Settings settings;
+    settings.adjust
+        = [isOn](ServingTaskSettings &serving) { serving.forwarder.checks.callerGone = isOn; };
+    TierWorld world(settings);
+    REQUIRE(world.waitUntilKnown());
+    for (ShardServer *server : world.allServers()) {
+        server->changeWorkTime(3s);
+    }
+    TierWorld::Request sent = request("/one/x");
+    sent.timeLeft = 4s;
+    sent.leaveAfter = 100ms;
+    world.send(sent);
+    sent.path = "/all/x";
+    world.send(sent);
+    world.run(600ms);
+    std::size_t busy = 0;
+    for (const ShardServer *server : world.allServers()) {
+        busy += server->busy();
+    }
+    CHECK((busy == 0) == isOn);
+}
+
+TEST_CASE("DRAIN: a backend server that is leaving gets nothing new", "[rules]")
+{
+    const bool isOn = GENERATE(true, false);
+    TierWorld::Settings settings;
+    settings.adjust
+        = [isOn](ServingTaskSettings &serving) { serving.forwarder.checks.outOfService = isOn; };
+    TierWorld world(settings);
+    REQUIRE(world.waitUntilKnown());
+    ShardServer &leaving = *world.servers("single").front();
+    world.registerServer(leaving, "a", "draining");
+    world.run(500ms);
+    const std::uint64_t before = leaving.arrivals();
+    for (int index = 0; index < 30; ++index) {
+        CHECK(world.ask(request("/one/x")).status == 200);
+    }
+    CHECK((leaving.arrivals() == before) == isOn);
+}
+
+TEST_CASE("EVAC: a failure domain out of service gets nothing, until it is taken back", "[rules]")
+{
+    const bool isOn = GENERATE(true, false);
+    TierWorld::Settings settings;
+    settings.adjust
+        = [isOn](ServingTaskSettings &serving) { serving.forwarder.checks.outOfService = isOn; };
+    TierWorld world(settings);
+    REQUIRE(world.waitUntilKnown());
+    ShardServer &server = *world.servers("single").front();
+    const std::string key = std::string(platform::wire::domainOutPrefix) + "a";
+    world.store().put(key, "{}");
+    world.run(500ms);
+    const std::uint64_t before = server.arrivals();
+    for (int index = 0; index < 20; ++index) {
+        CHECK(world.ask(request("/one/x")).status == 200);
+    }
+    CHECK((server.arrivals() == before) == isOn);
+    world.store().remove(key);
+    world.run(500ms);
+    for (int index = 0; index < 20; ++index) {
+        world.ask(request("/one/x"));
+    }
+    CHECK(server.arrivals() > before);
+}
+
+TEST_CASE("ROUTE: an address that another service has taken over runs nothing of the former one",
+          "[rules]")
+{
+    const bool isOn = GENERATE(true, false);
+    TierWorld::Settings settings;
+    settings.singles = 1;
+    settings.adjust
+        = [isOn](ServingTaskSettings &serving) { serving.forwarder.checks.expectedBackend = isOn; };
+    TierWorld world(settings);
+    REQUIRE(world.waitUntilKnown());
+    // The store has not told yet: the record still names the former server.
+    ShardServer &server = *world.servers("single").front();
+    server.changeId("other-1");
+    const TierWorld::Outcome outcome = world.ask(request("/once/x"));
+    CHECK((server.runs().empty()) == isOn);
+    CHECK((outcome.status == 503) == isOn);
+}
+
+TEST_CASE("CONFIG: a new version is in force everywhere at once and never goes back", "[rules]")
+{
+    TierWorld::Settings settings;
+    settings.vms = 2;
+    TierWorld world(settings);
+    REQUIRE(world.waitUntilKnown());
+    CHECK(world.ask(request("/added/x")).status == 404);
+    const auto addRoute = [](nlohmann::json &document) {
+        nlohmann::json route = document["routes"][1];
+        route["pathPrefix"] = "/added/";
+        route["name"] = "added";
+        document["routes"].push_back(route);
+    };
+    world.writeSettings(addRoute);
+    world.run(400ms);
+    for (std::size_t vm = 0; vm < 2; ++vm) {
+        CHECK(world.ask(request("/added/x", vm)).status == 200);
+    }
+    // An older document, and one that is no settings at all, change nothing.
+    world.writeSettings([](nlohmann::json &document) { document["version"] = 1; });
+    world.run(400ms);
+    world.store().put(platform::wire::settingsKey, "{\"version\":");
+    world.run(400ms);
+    for (std::size_t vm = 0; vm < 2; ++vm) {
+        CHECK(world.vm(vm).settingsVersion() == 2);
+        CHECK(world.ask(request("/added/x", vm)).status == 200);
+    }
+}
+
+TEST_CASE("CONFIG: a request that outlasts its route's time is answered then", "[rules]")
+{
+    TierWorld world({});
+    REQUIRE(world.waitUntilKnown());
+    for (ShardServer *server : world.allServers()) {
+        server->changeFault([](const HttpRequestMessage &) { return Fault::Mute; });
+    }
+    TierWorld::Request sent = request("/one/x");
+    sent.timeLeft = 3s;
+    const TierWorld::Outcome outcome = world.ask(sent);
+    CHECK(outcome.status == 504);
+    CHECK(outcome.took <= 1200ms);
+}
+
+TEST_CASE("LOST: a stopping VM answers what it has read and still takes what comes", "[rules]")
+{
+    TierWorld world({});
+    REQUIRE(world.waitUntilKnown());
+    for (ShardServer *server : world.allServers()) {
+        server->changeWorkTime(150ms);
+    }
+    std::vector<TierWorld::Outcome *> outcomes;
+    for (int index = 0; index < 10; ++index) {
+        outcomes.push_back(&world.send(request(index % 2 == 0 ? "/one/x" : "/all/x")));
+        world.run(10ms);
+        if (index == 4) {
+            world.vm(0).serving().postNotReady();
+        }
+    }
+    world.vm(0).serving().postStopTaking([] {});
+    world.runUntilEnded();
+    for (const TierWorld::Outcome *outcome : outcomes) {
+        CHECK(outcome->status == 200);
+    }
+}
+
+TEST_CASE("RECOVER: VMs that all start anew serve as soon as the store answers", "[rules]")
+{
+    TierWorld::Settings settings;
+    settings.vms = 2;
+    TierWorld world(settings);
+    REQUIRE(world.waitUntilKnown());
+    world.stopVm(0);
+    world.stopVm(1);
+    world.store().changeMode(KeyValueServer::Mode::Down);
+    world.startVm(0);
+    world.startVm(1);
+    world.run(300ms);
+    // Nothing is known yet: not run, and no 404 for what may well have a route.
+    CHECK(world.ask(request("/one/x")).status == 503);
+    world.store().changeMode(KeyValueServer::Mode::Up);
+    REQUIRE(world.waitUntilKnown());
+    CHECK(world.ask(request("/one/x")).status == 200);
+    CHECK(world.ask(request("/all/x", 1)).status == 200);
+}
+
+TEST_CASE("A VM serves on what it knows through every trouble of the store", "[rules]")
+{
+    using Mode = KeyValueServer::Mode;
+    const Mode mode
+        = GENERATE(Mode::Down, Mode::Busy, Mode::Silent, Mode::LoseAnswers, Mode::Garbled);
+    TierWorld world({});
+    REQUIRE(world.waitUntilKnown());
+    world.store().changeMode(mode);
+    world.run(700ms);
+    CHECK(world.ask(request("/all/x")).status == 200);
+    world.store().changeMode(Mode::Up);
+    world.writeSettings();
+    world.store().dropHistory();
+    world.run(2500ms);
+    CHECK(world.vm(0).settingsVersion() == 2);
+}
+
+TEST_CASE("Records of other writers name no backend server and break nothing", "[rules]")
+{
+    TierWorld world({});
+    REQUIRE(world.waitUntilKnown());
+    const std::string prefix = platform::wire::backendPrefix;
+    for (const char *text :
+         {"", "no json", "[]", "{}", "{\"service\":7}", "\xff\xfe",
+          "{\"service\":\"single\",\"address\":\"nowhere\",\"zone\":\"a\",\"state\":\"ready\","
+          "\"maxConcurrency\":2}",
+          "{\"service\":\"single\",\"address\":\"127.0.0.1:9\",\"zone\":\"a\",\"state\":\"lost\","
+          "\"maxConcurrency\":2}"}) {
+        world.store().put(prefix + "broken", text);
+        world.run(30ms);
+    }
+    world.run(300ms);
+    CHECK(world.vm(0).backends() == 13);
+    CHECK(world.ask(request("/one/x")).status == 200);
+}
--- /dev/null
+++ b/tests/support/TierWorld.cpp
@@ -0,0 +1,326 @@
+#include "tests/support/TierWorld.h"
+
+#include "Pimentoward/Process/PreciseLoop.h"
+#include "platform/RecordReader.h"
+#include "platform/WireNames.h"
+#include "tests/support/ScriptedServer.h"
+
+#include <event2/event.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace pimentoward;
+using namespace pimentoward::standins;
+using namespace std::chrono_literals;
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr const char *host = "site.test";
+
+/// A port that is free at this moment.
+Address freeAddress()
+{
+    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in local {};
+    local.sin_family = AF_INET;
+    local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    bind(socket, reinterpret_cast<sockaddr *>(&local), sizeof(local));
+    socklen_t size = sizeof(local);
+    getsockname(socket, reinterpret_cast<sockaddr *>(&local), &size);
+    ::close(socket);
+    return {"127.0.0.1", ntohs(local.sin_port)};
+}
+
+ServingTaskSettings servingSettings(const std::string &domain, const TierNode::Adjust &adjust)
+{
+    ServingTaskSettings settings;
+    settings.callerListen = freeAddress();
+    settings.readyListen = freeAddress();
+    settings.readyPath = platform::wire::readyPath;
+    settings.forwarder.headers = platform::wire::forwardHeaders();
+    settings.forwarder.failureDomain = domain;
+    adjust(settings);
+    return settings;
+}
+
+Discovery::Settings discoverySettings(const std::string &name)
+{
+    Discovery::Settings settings;
+    settings.self = name;
+    settings.registration.key = platform::wire::memberPrefix + name;
+    settings.registration.value = "{}";
+    settings.registration.timeToLive = 2s;
+    settings.registration.renewPeriod = 500ms;
+    settings.mirror.watchTime = 500ms;
+    return settings;
+}
+
+} // namespace
+
+TierNode::TierNode(event_base *loop, const std::string &name, const std::string &domain,
+                   const Address &store, const Adjust &adjust)
+    : m_settings(servingSettings(domain, adjust))
+    , m_serving(std::make_unique<ServingTask>(m_settings))
+    , m_store(loop, store)
+    , m_discovery(loop, m_clock, m_store, platform::recordCodec(), discoverySettings(name),
+                  {[this](const RouteTablePtr &routes) {
+                       m_version = routes->version();
+                       m_serving->postRoutes(routes);
+                   },
+                   [this](const BackendListPtr &list) {
+                       m_backends = list->size;
+                       m_serving->postBackends(list);
+                   },
+                   [this](std::size_t members) {
+                       m_members = members;
+                       m_serving->postMembers(members);
+                   }})
+{
+    Reason reason;
+    if (!m_serving->listen(reason)) {
+        throw std::runtime_error(reason.text);
+    }
+    m_serving->start();
+    m_discovery.start();
+}
+
+TierNode::~TierNode() = default;
+
+bool TierNode::knowsAll(std::size_t backends, std::size_t members) const
+{
+    return m_version > 0 && m_backends >= backends && m_members >= members;
+}
+
+/// One caller with one request on a connection of its own.
+struct TierWorld::Caller
+{
+    Outcome outcome;
+    std::unique_ptr<BackendConnection> connection;
+    std::unique_ptr<Timer> leave;
+    SteadyTime sentAt {};
+};
+
+TierWorld::TierWorld(const Settings &settings)
+    : m_settings(settings)
+    , m_loop(newPreciseLoop())
+    , m_store(std::make_unique<KeyValueServer>(m_loop, KeyValueModel::Settings()))
+{
+    Reason reason;
+    if (!m_store->listen({"127.0.0.1", 0}, reason)) {
+        throw std::runtime_error(reason.text);
+    }
+    writeSettings();
+    const auto addServers = [this](const std::string &service, std::size_t count) {
+        for (std::size_t index = 0; index < count; ++index) {
+            addServer(service, service + "-" + std::to_string(index), domainName(index),
+                      {"127.0.0.1", 0});
+        }
+    };
+    for (std::size_t shard = 0; shard < settings.shards; ++shard) {
+        addServers(shardName(shard), settings.replicas);
+    }
+    addServers("single", settings.singles);
+    for (std::size_t index = 0; index < settings.vms; ++index) {
+        m_vms.emplace_back();
+        startVm(index);
+    }
+}
+
+TierWorld::~TierWorld()
+{
+    m_callers.clear();
+    m_vms.clear();
+    m_servers.clear();
+    m_store.reset();
+    event_base_free(m_loop);
+}
+
+const char *TierWorld::domainName(std::size_t index)
+{
+    static constexpr const char *names[] = {"a", "b", "c"};
+    return names[index % 3];
+}
+
+void TierWorld::startVm(std::size_t index)
+{
+    m_vms[index]
+        = std::make_unique<TierNode>(m_loop, "vm-" + std::to_string(index), domainName(index),
+                                     Address {"127.0.0.1", m_store->port()}, m_settings.adjust);
+}
+
+ShardServer &TierWorld::addServer(const std::string &service, const std::string &id,
+                                  const std::string &domain, const Address &address)
+{
+    ShardServer::Settings settings;
+    settings.id = id;
+    settings.service = service;
+    settings.address = address;
+    settings.headers = platform::wire::forwardHeaders();
+    m_servers.push_back(std::make_unique<ShardServer>(m_loop, settings));
+    Reason reason;
+    if (!m_servers.back()->listen(reason)) {
+        throw std::runtime_error(reason.text);
+    }
+    registerServer(*m_servers.back(), domain, "ready");
+    return *m_servers.back();
+}
+
+void TierWorld::registerServer(const ShardServer &server, const std::string &domain,
+                               const std::string &state)
+{
+    const Json record = {{"service", server.settings().service},
+                         {"address", server.address().toString()},
+                         {"zone", domain},
+                         {"version", "v1"},
+                         {"maxConcurrency", server.settings().slots},
+                         {"state", state},
+                         {"coldLeftMs", 0},
+                         {"born", 1},
+                         {"sequence", 1}};
+    m_store->put(platform::wire::backendPrefix + server.settings().id, record.dump());
+}
+
+Json TierWorld::settingsDocument() const
+{
+    Json shards = Json::array();
+    Json services = Json::array();
+    for (std::size_t index = 0; index < m_settings.shards; ++index) {
+        shards.push_back(shardName(index));
+        services.push_back({{"name", shardName(index)}, {"maxConns", 31}});
+    }
+    services.push_back({{"name", "single"}, {"maxConns", 31}});
+    const auto route = [](const char *prefix, const char *type) {
+        return Json {{"name", prefix}, {"host", host},      {"pathPrefix", prefix},
+                     {"type", type},   {"timeoutMs", 1000}, {"targetLatencyMs", 200},
+                     {"priority", 1},  {"maxAttempts", 2}};
+    };
+    Json all = route("/all/", "idempotent");
+    all["fanout"] = shards;
+    all["topK"] = 8;
+    all["minShardRatio"] = 0.6;
+    Json one = route("/one/", "idempotent");
+    one["service"] = "single";
+    Json once = route("/once/", "non_idempotent");
+    once["service"] = "single";
+    Json routes = {all, one, once};
+    for (Json &entry : routes) {
+        m_settings.adjustRoute(entry);
+    }
+    return {{"version", m_version},
+            {"routes", routes},
+            {"services", services},
+            {"limits",
+             {{"maxHeaderBytes", 8192},
+              {"maxBodyBytes", 65536},
+              {"headerTimeoutMs", 2000},
+              {"idleTimeoutMs", 5000}}}};
+}
+
+void TierWorld::writeSettings(const std::function<void(Json &)> &change)
+{
+    ++m_version;
+    Json document = settingsDocument();
+    if (change) {
+        change(document);
+    }
+    m_store->put(platform::wire::settingsKey, document.dump());
+}
+
+std::vector<ShardServer *> TierWorld::servers(const std::string &service)
+{
+    std::vector<ShardServer *> found;
+    for (const auto &server : m_servers) {
+        if (server->settings().service == service) {
+            found.push_back(server.get());
+        }
+    }
+    return found;
+}
+
+std::vector<ShardServer *> TierWorld::allServers()
+{
+    std::vector<ShardServer *> found;
+    for (const auto &server : m_servers) {
+        found.push_back(server.get());
+    }
+    return found;
+}
+
+bool TierWorld::waitUntilKnown()
+{
+    const std::size_t backends = m_settings.shards * m_settings.replicas + m_settings.singles;
+    const auto isKnown = [&] {
+        for (const auto &vm : m_vms) {
+            if (vm && !vm->knowsAll(backends, m_settings.vms)) {
+                return false;
+            }
+        }
+        return true;
+    };
+    runLoop(m_loop, 5s, isKnown);
+    // The serving tasks take what was posted to them.
+    runLoop(m_loop, 20ms);
+    return isKnown();
+}
+
+TierWorld::Outcome &TierWorld::send(const Request &request)
+{
+    auto caller = std::make_unique<Caller>();
+    Caller *key = caller.get();
+    key->outcome.requestId = "r" + std::to_string(++m_lastRequest);
+    key->sentAt = std::chrono::steady_clock::now();
+    HttpRequestMessage message;
+    message.method = request.method;
+    message.target = request.path;
+    message.body = request.body;
+    const ForwardHeaders names = platform::wire::forwardHeaders();
+    message.headers.add("Host", host);
+    message.headers.add(names.requestId, key->outcome.requestId);
+    message.headers.add(names.timeLeft, std::to_string(request.timeLeft.count()));
+    key->connection = std::make_unique<BackendConnection>(m_loop, vm(request.vm).address(),
+                                                          [](BackendConnection &) {});
+    const BackendConnection::Exchange exchange {serialize(message), request.method,
+                                                key->outcome.requestId, names.requestId};
+    key->connection->send(exchange, [key](ExchangeEnd end, HttpReplyMessage reply) {
+        key->outcome.isEnded = true;
+        key->outcome.status = end == ExchangeEnd::Replied ? reply.status : 0;
+        key->outcome.reply = std::move(reply);
+        key->outcome.took = std::chrono::duration_cast<std::chrono::milliseconds>(
+            std::chrono::steady_clock::now() - key->sentAt);
+    });
+    if (request.leaveAfter.count() > 0) {
+        key->leave = std::make_unique<Timer>(m_loop, [key] {
+            key->connection.reset();
+            key->outcome.isEnded = true;
+        });
+        key->leave->startOnce(request.leaveAfter);
+    }
+    m_callers.push_back(std::move(caller));
+    return key->outcome;
+}
+
+TierWorld::Outcome TierWorld::ask(const Request &request)
+{
+    Outcome &outcome = send(request);
+    runLoop(m_loop, request.timeLeft + 1s, [&] { return outcome.isEnded; });
+    return outcome;
+}
+
+void TierWorld::run(std::chrono::milliseconds time)
+{
+    runLoop(m_loop, time);
+}
+
+void TierWorld::runUntilEnded()
+{
+    runLoop(m_loop, 5s, [this] {
+        for (const auto &caller : m_callers) {
+            if (!caller->outcome.isEnded) {
+                return false;
+            }
+        }
+        return true;
+    });
+}
