One watch call for changes that come within 200 ms

Change: after a watch that told something the mirror pauses 200 ms and takes what has gathered with one call. Ruled out: longer watches (a connection that fell silent has to be noticed within 4 s); stale reads (seconds old).

--- a/src/Pimentoward/Process/StoreMirror.cpp
+++ b/src/Pimentoward/Process/StoreMirror.cpp
@@ -24,6 +24,10 @@
     if (m_isListing) {
         return List {m_listAfter};
     }
+    if (m_hasChanged) {
+        m_hasChanged = false;
+        return Pause {m_settings.changePause};
+    }
     return Watch {m_revision};
 }
 
@@ -96,6 +100,7 @@
         }
     }
     m_revision = std::max(m_revision, changes.revision);
+    m_hasChanged = !changes.events.empty();
     m_hooks.onCurrent();
 }
 
--- a/src/Pimentoward/Process/StoreMirror.h
+++ b/src/Pimentoward/Process/StoreMirror.h
@@ -14,8 +14,8 @@
 /// Decides how a copy of all keys below a prefix is kept: list, watch, list again after a gap in
 /// the history, pause after a failure. Does no input or output.
 ///
-/// Load pattern: every VM follows a store that counts each call, that may be away for seconds and
-/// come back with all VMs asking at once.
+/// Load pattern: every VM follows a store that counts each call; many backend servers come or go
+/// within a second; the store may be away for seconds and come back with all VMs asking at once.
 class StoreMirror
 {
 public:
@@ -25,6 +25,8 @@
         /// Longest time that a watch waits; bounds how long a connection that fell silent goes
         /// unnoticed.
         Duration watchTime = std::chrono::milliseconds(2500);
+        /// Pause after a watch that told something: what changes meanwhile comes with one call.
+        Duration changePause = std::chrono::milliseconds(200);
         /// Mean pause after the first failure; it doubles up to the longest one.
         Duration firstPause = std::chrono::milliseconds(100);
         Duration longestPause = std::chrono::milliseconds(800);
@@ -86,6 +88,7 @@
     bool m_isListing = true;
     bool m_isComplete = false;
     bool m_isPausing = false;
+    bool m_hasChanged = false;
     unsigned m_failuresInRow = 0;
     std::mt19937 m_random;
 };
