Decision and decoder tests of the platform path; a wrong settings file never ends the process

Cause: the mutation test of settings files ended in an assertion of the TOML parser (a control character as the first of a table's name), which in a release build would have been undefined behaviour.

--- /dev/null
+++ b/tests/Request/DirectDecisionsTest.cpp
@@ -0,0 +1,208 @@
+#include "Pimentoward/Connection/BackendHealth.h"
+#include "Pimentoward/Process/SharedMembers.h"
+#include "Pimentoward/Request/AnswerTiming.h"
+#include "Pimentoward/Request/BackendChooser.h"
+#include "Pimentoward/Request/RecordMerge.h"
+#include "Pimentoward/Request/RouteLatencies.h"
+#include "Pimentoward/Request/SharedRetryBudget.h"
+#include "Pimentoward/Request/WeightedTurns.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <deque>
+#include <map>
+
+using namespace pimentoward;
+using namespace std::chrono_literals;
+
+namespace {
+
+const SteadyTime start {std::chrono::hours(1)};
+
+} // namespace
+
+TEST_CASE("The greatest records of all parts come first, equal ones all count, remainders none")
+{
+    const std::string a = std::string(16, 'a');
+    const std::string b = std::string(16, 'b');
+    const std::string high = std::string(16, '\xff');
+    const std::string first = a + b + "rest";
+    const std::string second = b + high;
+    CHECK(mergeGreatest({first, second}, 3) == high + b + b);
+    CHECK(mergeGreatest({first, second}, 10) == high + b + b + a);
+    CHECK(mergeGreatest({"short"}, 3).empty());
+    CHECK(mergeGreatest({}, 3).empty());
+}
+
+TEST_CASE("Weighted turns keep each service's share within one request at any time")
+{
+    WeightedTurns turns;
+    Route route;
+    route.name = "r";
+    route.split = {{"a", 7}, {"b", 2}, {"c", 1}};
+    std::map<std::string, int> count;
+    for (int index = 1; index <= 1000; ++index) {
+        ++count[turns.next(route)];
+        CHECK(std::abs(count["a"] - index * 0.7) <= 1.0);
+        CHECK(std::abs(count["b"] - index * 0.2) <= 1.0);
+        CHECK(std::abs(count["c"] - index * 0.1) <= 1.0);
+    }
+    route.split = {{"a", 1}, {"c", 1}};
+    count.clear();
+    for (int index = 0; index < 100; ++index) {
+        ++count[turns.next(route)];
+    }
+    CHECK(count["a"] == 50);
+    CHECK(count["c"] == 50);
+}
+
+TEST_CASE("All VMs together keep the budget in every window, whatever they want to send")
+{
+    constexpr std::size_t vms = 7;
+    SharedRetryBudget::Settings settings;
+    settings.fixedForAll = 54;
+    const bool isShared = GENERATE(true, false);
+    std::vector<SharedRetryBudget> budgets(vms, SharedRetryBudget(settings));
+    std::deque<SteadyTime> requests;
+    std::deque<SteadyTime> extras;
+    bool isKept = true;
+    for (SteadyTime now = start; now < start + 60s; now += 10ms) {
+        // Load comes and goes; each VM wants to send everything again at all times.
+        const bool isLoaded = (now.time_since_epoch() / 8s) % 2 == 0;
+        for (SharedRetryBudget &budget : budgets) {
+            if (isLoaded) {
+                budget.onRequest(now);
+                requests.push_back(now);
+            }
+            if (budget.take(now, isShared ? vms : 1)) {
+                extras.push_back(now);
+            }
+        }
+        const auto inWindow = [&](const std::deque<SteadyTime> &times, SteadyTime end) {
+            return std::count_if(times.begin(), times.end(), [&](SteadyTime time) {
+                return time > end - settings.window && time <= end;
+            });
+        };
+        if ((now - start) % 500ms == 0ms) {
+            const auto counted
+                = std::max(inWindow(requests, now), inWindow(requests, now - settings.window / 2));
+            const double bound
+                = settings.ratio * static_cast<double>(counted) + settings.fixedForAll;
+            isKept = isKept && static_cast<double>(inWindow(extras, now)) <= bound;
+        }
+    }
+    CHECK(isKept == isShared);
+    CHECK(extras.size() > 100);
+}
+
+TEST_CASE("A VM that has vanished counts for as long as what it spent does")
+{
+    SharedMembers members("self", {});
+    members.onPresent("b");
+    members.onPresent("c");
+    CHECK(members.count(start) == 3);
+    members.onVanished("b", start);
+    members.onVanished("self", start);
+    CHECK(members.count(start + 11s) == 3);
+    REQUIRE(members.nextChange().has_value());
+    CHECK(members.count(*members.nextChange()) == 2);
+    members.onPresent("b");
+    CHECK(members.count(start + 20s) == 3);
+}
+
+TEST_CASE("A backend server with an overdue request is suspect until it answers")
+{
+    BackendHealth health;
+    const unsigned sent = health.onSent(start, 50ms);
+    CHECK_FALSE(health.isSuspect(start + 49ms));
+    CHECK(health.isSuspect(start + 50ms));
+    health.onReplied(sent, start + 250ms, 8);
+    CHECK_FALSE(health.isSuspect(start + 250ms));
+    CHECK(health.expectedSlowness(start + 250ms) > 2);
+    CHECK(health.expectedSlowness(start + 30s) < 1.1);
+}
+
+TEST_CASE("Failures in a row keep a backend server out for longer and longer, up to a limit")
+{
+    BackendHealth health;
+    Duration last {};
+    SteadyTime now = start;
+    for (int failure = 0; failure < 20; ++failure) {
+        health.onFailed(health.onSent(now, 50ms), now);
+        Duration pause {};
+        while (health.isSuspect(now + pause)) {
+            pause += 10ms;
+        }
+        CHECK(pause >= last);
+        CHECK(pause <= BackendHealth::Settings().longestPause);
+        last = pause;
+        now += 10s;
+    }
+    health.onReplied(health.onSent(now, 50ms), now, 1);
+    CHECK_FALSE(health.isSuspect(now));
+}
+
+TEST_CASE("The near replica is taken, unless it is slow, suspect or has no room")
+{
+    const BackendServerId near = "near";
+    const BackendServerId far = "far";
+    BackendChooser chooser({});
+    BackendChooser::Candidate a {&near, true, true, false, 1};
+    BackendChooser::Candidate b {&far, false, true, false, 1};
+    CHECK(chooser.choose({a, b}, SendPurpose::First).to == near);
+    a.slowness = 4;
+    CHECK(chooser.choose({a, b}, SendPurpose::First).to == far);
+    a.slowness = 1;
+    a.isSuspect = true;
+    CHECK(chooser.choose({a, b}, SendPurpose::First).to == far);
+    b.hasRoom = false;
+    const Gather::Choice later = chooser.choose({a, b}, SendPurpose::First);
+    CHECK(later.to.empty());
+    CHECK(later.mayComeLater);
+    b.isSuspect = true;
+    CHECK(chooser.choose({a, b}, SendPurpose::First).to == near);
+    CHECK(chooser.choose({a, b}, SendPurpose::Hedge).to.empty());
+    CHECK_FALSE(chooser.choose({}, SendPurpose::First).mayComeLater);
+}
+
+TEST_CASE("An answer leaves in time for the objective as the caller's clock shows it")
+{
+    const AnswerTiming timing;
+    AnswerTiming::Request request {start, 2s, 2s, 200ms, false};
+    const auto kept = timing.moments(request);
+    CHECK(kept.answerBy < start + 200ms);
+    CHECK(kept.answerBy > start + 150ms);
+    CHECK(kept.deadline < start + 2s);
+    request.isFirstOnConnection = true;
+    CHECK(timing.moments(request).answerBy < kept.answerBy);
+    // Little of the time is spent: the objective still counts from the first attempt.
+    request.timeLeft = 1950ms;
+    CHECK(timing.moments(request).answerBy < kept.answerBy - 40ms);
+    // Asked again after a refusal: the objective counts anew.
+    request.timeLeft = 1500ms;
+    CHECK(timing.moments(request).answerBy > start + 150ms);
+    // Hardly any time left.
+    request.timeLeft = 3ms;
+    CHECK(timing.moments(request).deadline > start);
+    CHECK(timing.moments(request).answerBy <= timing.moments(request).deadline);
+}
+
+TEST_CASE("A part is overdue after most others have been answered, and in time for a hedge")
+{
+    RouteLatencies latencies;
+    Route route;
+    route.name = "r";
+    route.latencyObjective = 200ms;
+    CHECK(latencies.hedgeDelay(route) <= 100ms);
+    for (int index = 0; index < 1000; ++index) {
+        latencies.add(route, index % 100 < 96 ? 30ms : 280ms);
+    }
+    CHECK(latencies.usual(route) < 35ms);
+    CHECK(latencies.hedgeDelay(route) >= 40ms);
+    CHECK(latencies.hedgeDelay(route) <= 60ms);
+    for (int index = 0; index < 20'000; ++index) {
+        latencies.add(route, 400ms);
+    }
+    CHECK(latencies.hedgeDelay(route) <= 100ms);
+}
--- /dev/null
+++ b/tests/Version/BackendDirectoryTest.cpp
@@ -0,0 +1,87 @@
+#include "Pimentoward/Version/BackendDirectory.h"
+
+#include <catch2/catch.hpp>
+
+using namespace pimentoward;
+using namespace std::chrono_literals;
+
+namespace {
+
+const SteadyTime start {std::chrono::hours(1)};
+
+BackendRecord record(const std::string &id, const std::string &domain = "a")
+{
+    BackendRecord record;
+    record.id = id;
+    record.service = "s";
+    record.failureDomain = domain;
+    return record;
+}
+
+std::size_t inService(BackendDirectory &directory)
+{
+    return directory.list()->size;
+}
+
+} // namespace
+
+TEST_CASE("A record that vanishes in quiet times is gone at once")
+{
+    BackendDirectory directory;
+    directory.onWritten("1", record("1"));
+    directory.onRemoved("1", start);
+    CHECK(inService(directory) == 0);
+}
+
+TEST_CASE("A record that vanishes around an outage is kept until its owner had time to come back")
+{
+    BackendDirectory directory;
+    directory.onWritten("back", record("back"));
+    directory.onWritten("dead", record("dead"));
+    directory.onOutage(start);
+    directory.onListed({}, start + 100ms);
+    CHECK(inService(directory) == 2);
+    directory.onWritten("back", record("back"));
+    REQUIRE(directory.nextExpiry().has_value());
+    CHECK_FALSE(directory.expire(start + 2s));
+    CHECK(directory.expire(*directory.nextExpiry()));
+    CHECK(inService(directory) == 1);
+    CHECK_FALSE(directory.nextExpiry().has_value());
+}
+
+TEST_CASE("Without the grace all backend servers are lost with an outage")
+{
+    BackendDirectory::Settings settings;
+    settings.returnGrace = Duration::zero();
+    BackendDirectory directory(settings);
+    directory.onWritten("1", record("1"));
+    directory.onOutage(start);
+    directory.onListed({}, start + 100ms);
+    CHECK(inService(directory) == 0);
+}
+
+TEST_CASE("Leaving servers, unreadable records and domains out of service are not listed")
+{
+    BackendDirectory directory;
+    directory.onWritten("1", record("1", "a"));
+    directory.onWritten("2", record("2", "b"));
+    BackendRecord leaving = record("3", "b");
+    leaving.isLeaving = true;
+    directory.onWritten("3", leaving);
+    CHECK(inService(directory) == 2);
+    directory.onDomainOut("a", true);
+    CHECK(inService(directory) == 1);
+    directory.onDomainOut("a", false);
+    directory.onWritten("2", std::nullopt);
+    CHECK(inService(directory) == 1);
+}
+
+TEST_CASE("A list that has been given out never changes")
+{
+    BackendDirectory directory;
+    directory.onWritten("1", record("1"));
+    const BackendListPtr before = directory.list();
+    directory.onRemoved("1", start);
+    CHECK(before->size == 1);
+    CHECK(directory.list() != before);
+}
--- /dev/null
+++ b/tests/platform/PlatformSettingsTest.cpp
@@ -0,0 +1,86 @@
+#include "platform/PlatformSettings.h"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+using namespace pimentoward;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string settingsText = R"(
+nodeName = "vm-1"
+ip = "10.1.0.9"
+zone = "a"
+internalPorts = [7380,7395]
+unknown = { x = [1, 2] }
+[listen]
+frontend = "10.1.0.9:8104"
+ready = "10.1.0.9:8108"
+[bounds]
+retryRatio = 0.25
+retryWindowS = 8
+retrySlack = 54
+graceS = 6
+[platform]
+address = "10.200.1.7:8102"
+)";
+
+std::string without(const std::string &line)
+{
+    std::string text = settingsText;
+    text.erase(text.find(line), line.size());
+    return text;
+}
+
+} // namespace
+
+TEST_CASE("The platform's settings file is read into the tier's settings, unknown fields ignored")
+{
+    Reason reason;
+    const auto settings = platform::readSettings(settingsText, reason);
+    REQUIRE(settings.has_value());
+    CHECK(settings->store.toString() == "10.200.1.7:8102");
+    const ServingTaskSettings &serving = settings->process.serving;
+    CHECK(serving.callerListen.toString() == "10.1.0.9:8104");
+    CHECK(serving.readyListen.toString() == "10.1.0.9:8108");
+    CHECK(serving.forwarder.failureDomain == "a");
+    CHECK(serving.forwarder.retryBudget.ratio == 0.25);
+    CHECK(serving.forwarder.retryBudget.fixedForAll == 54);
+    CHECK(serving.forwarder.retryBudget.window == 8s);
+    CHECK(settings->process.drain.limit < 6s);
+    CHECK(settings->process.discovery.self == "vm-1");
+}
+
+TEST_CASE("A settings file that cannot be used is refused with a reason that names the field")
+{
+    for (const char *line : {"nodeName = \"vm-1\"", "frontend = \"10.1.0.9:8104\"",
+                             "ready = \"10.1.0.9:8108\"", "address = \"10.200.1.7:8102\""}) {
+        Reason reason;
+        CHECK_FALSE(platform::readSettings(without(line), reason).has_value());
+        const std::string field = std::string(line).substr(0, std::string(line).find(' '));
+        CHECK(reason.text.find(field) != std::string::npos);
+    }
+    Reason reason;
+    CHECK_FALSE(platform::readSettings("nodeName = ", reason).has_value());
+    CHECK(reason.code == ResultCode::InvalidSetting);
+    CHECK_FALSE(reason.text.empty());
+    CHECK_FALSE(platform::readFile("/nowhere/at/all.toml", reason).has_value());
+}
+
+TEST_CASE("Mutated settings files are read or refused")
+{
+    std::mt19937 random(3);
+    constexpr int inputs = 20'000;
+    for (int input = 0; input < inputs; ++input) {
+        std::string text = settingsText;
+        for (unsigned change = 1 + random() % 3; change > 0; --change) {
+            text[random() % text.size()] = static_cast<char>(random());
+        }
+        Reason reason;
+        if (!platform::readSettings(text, reason)) {
+            REQUIRE_FALSE(reason.text.empty());
+        }
+    }
+}
--- /dev/null
+++ b/tests/platform/RecordReaderTest.cpp
@@ -0,0 +1,108 @@
+#include "platform/RecordReader.h"
+#include "platform/Base64.h"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+using namespace pimentoward;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string backendText
+    = R"({"service":"s","address":"10.1.0.9:8080","zone":"a","version":"v1","maxConcurrency":3,)"
+      R"("state":"ready","coldLeftMs":1500,"sequence":4,"born":1777761266035,"new":{}})";
+
+const std::string routesText
+    = R"({"version":7,"routes":[{"name":"f","host":"h","pathPrefix":"/a/","type":"idempotent",)"
+      R"("timeoutMs":800,"targetLatencyMs":100,"priority":2,"fanout":["s1","s2"],"maxAttempts":2,)"
+      R"("topK":5,"minShardRatio":0.75},{"name":"w","host":"h","pathPrefix":"/b/",)"
+      R"("type":"non_idempotent","timeoutMs":8000,"weightedSplit":[{"service":"x","weight":3},)"
+      R"({"service":"y","weight":0}],"maxAttempts":2}],"services":[{"name":"s1","maxConns":31,)"
+      R"("coldStartS":3.0,"coldPerS":1.5,"healthPath":"/health"}],"limits":{"maxHeaderBytes":100,)"
+      R"("maxBodyBytes":200,"headerTimeoutMs":300,"idleTimeoutMs":400}})";
+
+std::string mutated(std::string text, std::mt19937 &random)
+{
+    for (unsigned change = 1 + random() % 3; change > 0; --change) {
+        text[random() % text.size()] = static_cast<char>(random());
+    }
+    return text;
+}
+
+} // namespace
+
+TEST_CASE("A backend server's record is read whole")
+{
+    Reason reason;
+    const auto record = platform::readBackend("i-1", backendText, reason);
+    REQUIRE(record.has_value());
+    CHECK(record->id == "i-1");
+    CHECK(record->service == "s");
+    CHECK(record->address.toString() == "10.1.0.9:8080");
+    CHECK(record->failureDomain == "a");
+    CHECK(record->slots == 3);
+    CHECK(record->coldLeft == 1500ms);
+    CHECK(record->incarnation == 1777761266035);
+    CHECK_FALSE(record->isLeaving);
+}
+
+TEST_CASE("The operators' settings are read whole")
+{
+    Reason reason;
+    const RouteTablePtr table = platform::readRoutes(routesText, reason);
+    REQUIRE(table != nullptr);
+    CHECK(table->version() == 7);
+    const Route *fanout = table->find("h", "/a/x");
+    REQUIRE(fanout != nullptr);
+    CHECK(fanout->isFanout());
+    CHECK(fanout->isIdempotent);
+    CHECK(fanout->timeout == 800ms);
+    CHECK(fanout->latencyObjective == 100ms);
+    CHECK(fanout->priority == 2);
+    CHECK(fanout->topRecords == 5);
+    CHECK(fanout->leastCoverage == 0.75);
+    const Route *weighted = table->find("h", "/b/");
+    REQUIRE(weighted != nullptr);
+    CHECK_FALSE(weighted->isIdempotent);
+    REQUIRE(weighted->split.size() == 1);
+    CHECK(weighted->split.front().service == "x");
+    REQUIRE(table->service("s1") != nullptr);
+    CHECK(table->service("s1")->maxConnections == 31);
+    CHECK(table->service("s1")->coldRequestsPerSecond == 1.5);
+    CHECK(table->limits().headBytes == 100);
+    CHECK(table->limits().bodyBytes == 200);
+    CHECK(table->limits().idleTimeout == 400ms);
+}
+
+TEST_CASE("Mutated records and settings are read or refused with a reason")
+{
+    std::mt19937 random(5);
+    constexpr int inputs = 100'000;
+    for (int input = 0; input < inputs; ++input) {
+        Reason reason;
+        if (!platform::readBackend("i-1", mutated(backendText, random), reason)) {
+            REQUIRE_FALSE(reason.text.empty());
+        }
+    }
+    for (int input = 0; input < inputs; ++input) {
+        Reason reason;
+        if (!platform::readRoutes(mutated(routesText, random), reason)) {
+            REQUIRE_FALSE(reason.text.empty());
+        }
+    }
+}
+
+TEST_CASE("Base64 gives back what it was made from")
+{
+    std::mt19937 random(9);
+    for (std::size_t size = 0; size < 300; ++size) {
+        std::string bytes(size, '\0');
+        for (char &byte : bytes) {
+            byte = static_cast<char>(random());
+        }
+        CHECK(platform::fromBase64(platform::toBase64(bytes)) == bytes);
+    }
+    CHECK(platform::toBase64("node-1") == "bm9kZS0x");
+}
