--- a/src/Pimentoward/Connection/BackendFleet.cpp
+++ b/src/Pimentoward/Connection/BackendFleet.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace pimentoward {
 
@@ -44,7 +45,7 @@
         for (const BackendRecord &record : records) {
             std::unique_ptr<BackendLink> &link = m_links[record.id];
             if (link && !isSameRun(link->record(), record)) {
-                takeOutOfService(std::move(link));
+                takeOutOfService(std::exchange(link, nullptr));
             }
             if (!link) {
                 link = std::make_unique<BackendLink>(m_loop, record, m_onRoom);
--- a/tests/Process/TierRulesTest.cpp
+++ b/tests/Process/TierRulesTest.cpp
@@ -30,7 +30,7 @@
 std::map<std::string, int> runsOf(TierWorld &world, const std::string &service)
 {
     std::map<std::string, int> runs;
-    for (const ShardServer *server : world.servers(service)) {
+    for (const ShardServer *server : world.site().servers(service)) {
         for (const ShardServer::Run &run : server->runs()) {
             ++runs[run.requestId];
         }
@@ -42,7 +42,7 @@
 void addFaults(TierWorld &world, const std::vector<Fault> &faults, double share)
 {
     const auto random = std::make_shared<std::mt19937>(7);
-    for (ShardServer *server : world.allServers()) {
+    for (ShardServer *server : world.site().allServers()) {
         server->changeFault([random, faults, share](const HttpRequestMessage &) {
             const bool isMet = std::uniform_real_distribution<double>(0, 1)(*random) < share;
             return isMet ? faults[(*random)() % faults.size()] : Fault::None;
@@ -132,7 +132,7 @@
     TierWorld world(settings);
     REQUIRE(world.waitUntilKnown());
     for (std::size_t shard = 0; shard < 3; ++shard) {
-        for (ShardServer *server : world.servers(TierWorld::shardName(shard))) {
+        for (ShardServer *server : world.site().servers(Site::shardName(shard))) {
             server->changeFault([](const HttpRequestMessage &) { return Fault::Failure; });
         }
     }
@@ -150,7 +150,7 @@
     const TierWorld::Outcome outcome = world.ask(sent);
     REQUIRE(outcome.status == 200);
     std::size_t runs = 0;
-    for (const ShardServer *server : world.servers("single")) {
+    for (const ShardServer *server : world.site().servers("single")) {
         for (const ShardServer::Run &run : server->runs()) {
             ++runs;
             CHECK(run.requestId == outcome.requestId);
@@ -220,7 +220,7 @@
     bool isKept = true;
     for (std::size_t shard = 0; shard < 5; ++shard) {
         std::uint64_t arrivals = 0;
-        for (const ShardServer *server : world.servers(TierWorld::shardName(shard))) {
+        for (const ShardServer *server : world.site().servers(Site::shardName(shard))) {
             arrivals += server->arrivals();
         }
         isKept = isKept && arrivals <= requests * (1 + ratio) + slack;
@@ -240,7 +240,7 @@
         world.run(5ms);
     }
     world.runUntilEnded();
-    for (const ShardServer *server : world.allServers()) {
+    for (const ShardServer *server : world.site().allServers()) {
         for (const ShardServer::Run &run : server->runs()) {
             CHECK(run.timeLeft <= 400ms);
         }
@@ -255,7 +255,7 @@
         = [isOn](ServingTaskSettings &serving) { serving.forwarder.checks.callerGone = isOn; };
     TierWorld world(settings);
     REQUIRE(world.waitUntilKnown());
-    for (ShardServer *server : world.allServers()) {
+    for (ShardServer *server : world.site().allServers()) {
         server->changeWorkTime(3s);
     }
     TierWorld::Request sent = request("/one/x");
@@ -266,7 +266,7 @@
     world.send(sent);
     world.run(600ms);
     std::size_t busy = 0;
-    for (const ShardServer *server : world.allServers()) {
+    for (const ShardServer *server : world.site().allServers()) {
         busy += server->busy();
     }
     CHECK((busy == 0) == isOn);
@@ -280,8 +280,8 @@
         = [isOn](ServingTaskSettings &serving) { serving.forwarder.checks.outOfService = isOn; };
     TierWorld world(settings);
     REQUIRE(world.waitUntilKnown());
-    ShardServer &leaving = *world.servers("single").front();
-    world.registerServer(leaving, "a", "draining");
+    ShardServer &leaving = *world.site().servers("single").front();
+    world.site().registerServer(leaving, "a", "draining");
     world.run(500ms);
     const std::uint64_t before = leaving.arrivals();
     for (int index = 0; index < 30; ++index) {
@@ -298,7 +298,7 @@
         = [isOn](ServingTaskSettings &serving) { serving.forwarder.checks.outOfService = isOn; };
     TierWorld world(settings);
     REQUIRE(world.waitUntilKnown());
-    ShardServer &server = *world.servers("single").front();
+    ShardServer &server = *world.site().servers("single").front();
     const std::string key = std::string(platform::wire::domainOutPrefix) + "a";
     world.store().put(key, "{}");
     world.run(500ms);
@@ -320,13 +320,13 @@
 {
     const bool isOn = GENERATE(true, false);
     TierWorld::Settings settings;
-    settings.singles = 1;
+    settings.site.singles = 1;
     settings.adjust
         = [isOn](ServingTaskSettings &serving) { serving.forwarder.checks.expectedBackend = isOn; };
     TierWorld world(settings);
     REQUIRE(world.waitUntilKnown());
     // The store has not told yet: the record still names the former server.
-    ShardServer &server = *world.servers("single").front();
+    ShardServer &server = *world.site().servers("single").front();
     server.changeId("other-1");
     const TierWorld::Outcome outcome = world.ask(request("/once/x"));
     CHECK((server.runs().empty()) == isOn);
@@ -346,13 +346,13 @@
         route["name"] = "added";
         document["routes"].push_back(route);
     };
-    world.writeSettings(addRoute);
+    world.site().writeSettings(addRoute);
     world.run(400ms);
     for (std::size_t vm = 0; vm < 2; ++vm) {
         CHECK(world.ask(request("/added/x", vm)).status == 200);
     }
     // An older document, and one that is no settings at all, change nothing.
-    world.writeSettings([](nlohmann::json &document) { document["version"] = 1; });
+    world.site().writeSettings([](nlohmann::json &document) { document["version"] = 1; });
     world.run(400ms);
     world.store().put(platform::wire::settingsKey, "{\"version\":");
     world.run(400ms);
@@ -366,7 +366,7 @@
 {
     TierWorld world({});
     REQUIRE(world.waitUntilKnown());
-    for (ShardServer *server : world.allServers()) {
+    for (ShardServer *server : world.site().allServers()) {
         server->changeFault([](const HttpRequestMessage &) { return Fault::Mute; });
     }
     TierWorld::Request sent = request("/one/x");
@@ -380,7 +380,7 @@
 {
     TierWorld world({});
     REQUIRE(world.waitUntilKnown());
-    for (ShardServer *server : world.allServers()) {
+    for (ShardServer *server : world.site().allServers()) {
         server->changeWorkTime(150ms);
     }
     std::vector<TierWorld::Outcome *> outcomes;
@@ -429,7 +429,7 @@
     world.run(700ms);
     CHECK(world.ask(request("/all/x")).status == 200);
     world.store().changeMode(Mode::Up);
-    world.writeSettings();
+    world.site().writeSettings();
     world.store().dropHistory();
     world.run(2500ms);
     CHECK(world.vm(0).settingsVersion() == 2);
--- a/tests/support/TierWorld.cpp
+++ b/tests/support/TierWorld.cpp
@@ -13,12 +13,9 @@
 using namespace pimentoward;
 using namespace pimentoward::standins;
 using namespace std::chrono_literals;
-using Json = nlohmann::json;
 
 namespace {
 
-constexpr const char *host = "site.test";
-
 /// A port that is free at this moment.
 Address freeAddress()
 {
@@ -105,23 +102,11 @@
 TierWorld::TierWorld(const Settings &settings)
     : m_settings(settings)
     , m_loop(newPreciseLoop())
-    , m_store(std::make_unique<KeyValueServer>(m_loop, KeyValueModel::Settings()))
+    , m_site(std::make_unique<Site>(m_loop, settings.site))
 {
-    Reason reason;
-    if (!m_store->listen({"127.0.0.1", 0}, reason)) {
+    if (Reason reason; !m_site->start(reason)) {
         throw std::runtime_error(reason.text);
     }
-    writeSettings();
-    const auto addServers = [this](const std::string &service, std::size_t count) {
-        for (std::size_t index = 0; index < count; ++index) {
-            addServer(service, service + "-" + std::to_string(index), domainName(index),
-                      {"127.0.0.1", 0});
-        }
-    };
-    for (std::size_t shard = 0; shard < settings.shards; ++shard) {
-        addServers(shardName(shard), settings.replicas);
-    }
-    addServers("single", settings.singles);
     for (std::size_t index = 0; index < settings.vms; ++index) {
         m_vms.emplace_back();
         startVm(index);
@@ -132,125 +117,21 @@
 {
     m_callers.clear();
     m_vms.clear();
-    m_servers.clear();
-    m_store.reset();
+    m_site.reset();
     event_base_free(m_loop);
 }
 
-const char *TierWorld::domainName(std::size_t index)
-{
-    static constexpr const char *names[] = {"a", "b", "c"};
-    return names[index % 3];
-}
-
 void TierWorld::startVm(std::size_t index)
 {
     m_vms[index]
-        = std::make_unique<TierNode>(m_loop, "vm-" + std::to_string(index), domainName(index),
-                                     Address {"127.0.0.1", m_store->port()}, m_settings.adjust);
-}
-
-ShardServer &TierWorld::addServer(const std::string &service, const std::string &id,
-                                  const std::string &domain, const Address &address)
-{
-    ShardServer::Settings settings;
-    settings.id = id;
-    settings.service = service;
-    settings.address = address;
-    settings.headers = platform::wire::forwardHeaders();
-    m_servers.push_back(std::make_unique<ShardServer>(m_loop, settings));
-    Reason reason;
-    if (!m_servers.back()->listen(reason)) {
-        throw std::runtime_error(reason.text);
-    }
-    registerServer(*m_servers.back(), domain, "ready");
-    return *m_servers.back();
-}
-
-void TierWorld::registerServer(const ShardServer &server, const std::string &domain,
-                               const std::string &state)
-{
-    const Json record = {{"service", server.settings().service},
-                         {"address", server.address().toString()},
-                         {"zone", domain},
-                         {"version", "v1"},
-                         {"maxConcurrency", server.settings().slots},
-                         {"state", state},
-                         {"coldLeftMs", 0},
-                         {"born", 1},
-                         {"sequence", 1}};
-    m_store->put(platform::wire::backendPrefix + server.settings().id, record.dump());
-}
-
-Json TierWorld::settingsDocument() const
-{
-    Json shards = Json::array();
-    Json services = Json::array();
-    for (std::size_t index = 0; index < m_settings.shards; ++index) {
-        shards.push_back(shardName(index));
-        services.push_back({{"name", shardName(index)}, {"maxConns", 31}});
-    }
-    services.push_back({{"name", "single"}, {"maxConns", 31}});
-    const auto route = [](const char *prefix, const char *type) {
-        return Json {{"name", prefix}, {"host", host},      {"pathPrefix", prefix},
-                     {"type", type},   {"timeoutMs", 1000}, {"targetLatencyMs", 200},
-                     {"priority", 1},  {"maxAttempts", 2}};
-    };
-    Json all = route("/all/", "idempotent");
-    all["fanout"] = shards;
-    all["topK"] = 8;
-    all["minShardRatio"] = 0.6;
-    Json one = route("/one/", "idempotent");
-    one["service"] = "single";
-    Json once = route("/once/", "non_idempotent");
-    once["service"] = "single";
-    Json routes = {all, one, once};
-    for (Json &entry : routes) {
-        m_settings.adjustRoute(entry);
-    }
-    return {{"version", m_version},
-            {"routes", routes},
-            {"services", services},
-            {"limits",
-             {{"maxHeaderBytes", 8192},
-              {"maxBodyBytes", 65536},
-              {"headerTimeoutMs", 2000},
-              {"idleTimeoutMs", 5000}}}};
-}
-
-void TierWorld::writeSettings(const std::function<void(Json &)> &change)
-{
-    ++m_version;
-    Json document = settingsDocument();
-    if (change) {
-        change(document);
-    }
-    m_store->put(platform::wire::settingsKey, document.dump());
-}
-
-std::vector<ShardServer *> TierWorld::servers(const std::string &service)
-{
-    std::vector<ShardServer *> found;
-    for (const auto &server : m_servers) {
-        if (server->settings().service == service) {
-            found.push_back(server.get());
-        }
-    }
-    return found;
-}
-
-std::vector<ShardServer *> TierWorld::allServers()
-{
-    std::vector<ShardServer *> found;
-    for (const auto &server : m_servers) {
-        found.push_back(server.get());
-    }
-    return found;
+        = std::make_unique<TierNode>(m_loop, "vm-" + std::to_string(index), Site::domainName(index),
+                                     Address {"127.0.0.1", store().port()}, m_settings.adjust);
 }
 
 bool TierWorld::waitUntilKnown()
 {
-    const std::size_t backends = m_settings.shards * m_settings.replicas + m_settings.singles;
+    const Site::Settings &site = m_settings.site;
+    const std::size_t backends = site.shards * site.replicas + site.singles;
     const auto isKnown = [&] {
         for (const auto &vm : m_vms) {
             if (vm && !vm->knowsAll(backends, m_settings.vms)) {
@@ -276,7 +157,7 @@
     message.target = request.path;
     message.body = request.body;
     const ForwardHeaders names = platform::wire::forwardHeaders();
-    message.headers.add("Host", host);
+    message.headers.add("Host", m_settings.site.host);
     message.headers.add(names.requestId, key->outcome.requestId);
     message.headers.add(names.timeLeft, std::to_string(request.timeLeft.count()));
     key->connection = std::make_unique<BackendConnection>(m_loop, vm(request.vm).address(),
--- a/tests/support/TierWorld.h
+++ b/tests/support/TierWorld.h
@@ -5,10 +5,7 @@
 #include "Pimentoward/Process/Discovery.h"
 #include "Pimentoward/Process/ServingTask.h"
 #include "platform/StoreClient.h"
-#include "standins/KeyValueServer.h"
-#include "standins/ShardServer.h"
-
-#include <nlohmann/json.hpp>
+#include "standins/Site.h"
 
 #include <functional>
 #include <map>
@@ -45,20 +42,16 @@
     std::size_t m_members = 0;
 };
 
-/// A small deployment on the platform's interfaces: a stand-in store, stand-in backend servers and
-/// some VMs, with callers. Everything but the VMs' serving tasks runs on one loop.
+/// A small deployment on the platform's interfaces: a stand-in site and some VMs, with callers.
+/// Everything but the VMs' serving tasks runs on one loop.
 class TierWorld
 {
 public:
     struct Settings
     {
-        std::size_t shards = 5;
-        std::size_t replicas = 2;
-        std::size_t singles = 3;
+        pimentoward::standins::Site::Settings site;
         std::size_t vms = 1;
         TierNode::Adjust adjust = [](pimentoward::ServingTaskSettings &) {};
-        /// Changes each route of the settings document before it is written.
-        std::function<void(nlohmann::json &route)> adjustRoute = [](nlohmann::json &) {};
     };
 
     /// What became of a caller's request.
@@ -86,20 +79,9 @@
     ~TierWorld();
 
     event_base *loop() const { return m_loop; }
-    pimentoward::standins::KeyValueServer &store() { return *m_store; }
+    pimentoward::standins::Site &site() { return *m_site; }
+    pimentoward::standins::KeyValueServer &store() { return m_site->store(); }
     TierNode &vm(std::size_t index) { return *m_vms.at(index); }
-    /// Backend servers of one service.
-    std::vector<pimentoward::standins::ShardServer *> servers(const std::string &service);
-    std::vector<pimentoward::standins::ShardServer *> allServers();
-    /// Starts another backend server and registers it.
-    pimentoward::standins::ShardServer &addServer(const std::string &service, const std::string &id,
-                                                  const std::string &domain,
-                                                  const pimentoward::Address &address);
-    /// Writes the record of a backend server.
-    void registerServer(const pimentoward::standins::ShardServer &server, const std::string &domain,
-                        const std::string &state);
-    /// Writes the settings with the next version; `change` may alter the document.
-    void writeSettings(const std::function<void(nlohmann::json &)> &change = nullptr);
     void stopVm(std::size_t index) { m_vms.at(index).reset(); }
     void startVm(std::size_t index);
     /// Runs until every VM knows all backend servers and VMs.
@@ -113,20 +95,13 @@
     void run(std::chrono::milliseconds time);
     void runUntilEnded();
 
-    static std::string shardName(std::size_t index) { return "shard" + std::to_string(index); }
-    static const char *domainName(std::size_t index);
-
 private:
     struct Caller;
 
-    nlohmann::json settingsDocument() const;
-
     Settings m_settings;
     event_base *m_loop;
-    std::unique_ptr<pimentoward::standins::KeyValueServer> m_store;
-    std::vector<std::unique_ptr<pimentoward::standins::ShardServer>> m_servers;
+    std::unique_ptr<pimentoward::standins::Site> m_site;
     std::vector<std::unique_ptr<TierNode>> m_vms;
     std::vector<std::unique_ptr<Caller>> m_callers;
-    std::uint64_t m_version = 0;
     std::size_t m_lastRequest = 0;
 };
