--- a/src/Pimentoward/Request/BackendChooser.h
+++ b/src/Pimentoward/Request/BackendChooser.h
@@ -30,7 +30,7 @@
     struct Settings
     {
         /// Slowness that the way to another failure domain counts for.
-        double farWeight = 0.15;
+        double farWeight = 0.35;
         /// Greatest random part of a slowness, as a share.
         double jitter = 0.1;
         std::uint32_t seed = 1;
