Each VM prefers some replicas where connections do not suffice for all

Cause: on the grown sites 87 (67) VMs each opened a connection to each of 270 backend servers, which accept 66 (56): hundreds were reset under running requests, and the knowledge of each VM was spread thin over three replicas. Change: a VM prefers as many replicas of a service as connections allow, at least two: those of its own failure domain first, then others by hash; the rest is used only where no preferred one can be. Ruled out: an owner a backend server (a hop, and processor time twice, for 40 us of work). Tests: BackendFleetTest (87 VMs: each replica preferred by 45 to 66), chooser with a replica not preferred.

--- a/src/Pimentoward/Connection/BackendFleet.cpp
+++ b/src/Pimentoward/Connection/BackendFleet.cpp
@@ -54,6 +54,30 @@
             link->changeShare(shareOf(record, *routes, members));
             links.push_back(link.get());
         }
+        preferSome(links, *routes, members);
+    }
+}
+
+void BackendFleet::preferSome(std::vector<BackendLink *> &links, const RouteTable &routes,
+                              std::size_t members) const
+{
+    const ServiceRules *rules = routes.service(links.front()->record().service);
+    const double accepted = rules == nullptr ? 0 : rules->maxConnections;
+    std::size_t most = links.size();
+    if (accepted > 0) {
+        const double each = m_settings.usedShare * accepted * static_cast<double>(links.size())
+            / static_cast<double>(std::max<std::size_t>(1, members));
+        most = std::max(static_cast<std::size_t>(each), m_settings.fewestReplicas);
+    }
+    const auto rank = [this](const BackendLink *link) {
+        const BackendRecord &record = link->record();
+        const bool isFar = record.failureDomain != m_settings.failureDomain;
+        return std::make_pair(isFar, std::hash<std::string>()(m_settings.self + '/' + record.id));
+    };
+    std::sort(links.begin(), links.end(),
+              [&](const BackendLink *a, const BackendLink *b) { return rank(a) < rank(b); });
+    for (std::size_t index = 0; index < links.size(); ++index) {
+        links[index]->changePreferred(index < most);
     }
 }
 
--- a/src/Pimentoward/Connection/BackendFleet.h
+++ b/src/Pimentoward/Connection/BackendFleet.h
@@ -12,6 +12,10 @@
 namespace pimentoward {
 
 /// The links of this VM to all backend servers in service. Belongs to one task.
+///
+/// Load pattern: where there are more VMs than a backend server accepts connections, each VM
+/// prefers some replicas of a service only: those of its own failure domain, then others by hash,
+/// so that the VMs spread evenly over them.
 class BackendFleet
 {
 public:
@@ -25,6 +29,11 @@
         unsigned connectionsPerSlot = 2;
         /// The same for a backend server whose limit is not known.
         unsigned defaultConnections = 2;
+        /// Fewest replicas of a service that a VM prefers: one for the request, one for its hedge.
+        std::size_t fewestReplicas = 2;
+        /// Where this VM stands, and its name, by which it picks among replicas elsewhere.
+        FailureDomain failureDomain;
+        MemberId self;
     };
 
     BackendFleet(event_base *loop, const Settings &settings, BackendLink::RoomHook onRoom);
@@ -43,6 +52,8 @@
     std::uint64_t connectionsOpened() const;
 
 private:
+    void preferSome(std::vector<BackendLink *> &links, const RouteTable &routes,
+                    std::size_t members) const;
     unsigned shareOf(const BackendRecord &record, const RouteTable &routes,
                      std::size_t members) const;
     void takeOutOfService(std::unique_ptr<BackendLink> link);
--- a/src/Pimentoward/Connection/BackendLink.h
+++ b/src/Pimentoward/Connection/BackendLink.h
@@ -26,6 +26,9 @@
     BackendHealth &health() { return m_health; }
     const BackendHealth &health() const { return m_health; }
 
+    /// False where other replicas are to be used first, so that connections suffice for all VMs.
+    bool isPreferred() const { return m_isPreferred; }
+    void changePreferred(bool isPreferred) { m_isPreferred = isPreferred; }
     /// Connections that may stand at a time.
     void changeShare(unsigned connections) { m_share = connections; }
     /// True where one more request can be sent now.
@@ -61,6 +64,7 @@
     unsigned m_share = 1;
     std::uint64_t m_opened = 0;
     bool m_isInService = true;
+    bool m_isPreferred = true;
 };
 
 } // namespace pimentoward
--- a/src/Pimentoward/Request/BackendChooser.cpp
+++ b/src/Pimentoward/Request/BackendChooser.cpp
@@ -16,15 +16,14 @@
     return (candidate.slowness + way) * (1 + jitter(m_random));
 }
 
-Gather::Choice BackendChooser::choose(const std::vector<Candidate> &candidates, SendPurpose purpose)
+const BackendChooser::Candidate *BackendChooser::best(const std::vector<Candidate> &candidates,
+                                                      bool isPreferred, bool needsSound)
 {
-    const bool hasSound = std::any_of(candidates.begin(), candidates.end(),
-                                      [](const Candidate &entry) { return !entry.isSuspect; });
-    const bool needsSound = hasSound || purpose == SendPurpose::Hedge;
     const Candidate *best = nullptr;
     double bestCost = 0;
     for (const Candidate &candidate : candidates) {
-        if (!candidate.hasRoom || (needsSound && candidate.isSuspect)) {
+        const bool isSound = !candidate.isSuspect || !needsSound;
+        if (!candidate.hasRoom || candidate.isPreferred != isPreferred || !isSound) {
             continue;
         }
         const double thisCost = cost(candidate);
@@ -33,10 +32,22 @@
             bestCost = thisCost;
         }
     }
+    return best;
+}
+
+Gather::Choice BackendChooser::choose(const std::vector<Candidate> &candidates, SendPurpose purpose)
+{
+    const bool hasSound = std::any_of(candidates.begin(), candidates.end(),
+                                      [](const Candidate &entry) { return !entry.isSuspect; });
+    const bool needsSound = hasSound || purpose == SendPurpose::Hedge;
+    const Candidate *chosen = best(candidates, true, needsSound);
+    if (chosen == nullptr) {
+        chosen = best(candidates, false, needsSound);
+    }
     Gather::Choice choice;
     choice.mayComeLater = !candidates.empty();
-    if (best != nullptr) {
-        choice.to = *best->id;
+    if (chosen != nullptr) {
+        choice.to = *chosen->id;
     }
     return choice;
 }
--- a/src/Pimentoward/Request/BackendChooser.h
+++ b/src/Pimentoward/Request/BackendChooser.h
@@ -21,6 +21,8 @@
         const BackendServerId *id = nullptr;
         /// It stands in the failure domain of this VM.
         bool isNear = false;
+        /// Others are used only where no preferred one can be.
+        bool isPreferred = true;
         bool hasRoom = false;
         bool isSuspect = false;
         /// Expected time, as a multiple of the usual one.
@@ -42,6 +44,8 @@
     Gather::Choice choose(const std::vector<Candidate> &candidates, SendPurpose purpose);
 
 private:
+    const Candidate *best(const std::vector<Candidate> &candidates, bool isPreferred,
+                          bool needsSound);
     double cost(const Candidate &candidate);
 
     Settings m_settings;
--- a/src/Pimentoward/Request/Forwarder.cpp
+++ b/src/Pimentoward/Request/Forwarder.cpp
@@ -475,7 +475,7 @@
             continue;
         }
         candidates.push_back({&id, link->record().failureDomain == m_settings.failureDomain,
-                              link->hasRoom(), link->health().isSuspect(now),
+                              link->isPreferred(), link->hasRoom(), link->health().isSuspect(now),
                               link->health().expectedSlowness(now)});
     }
     return m_chooser.choose(candidates, purpose);
--- /dev/null
+++ b/tests/Connection/BackendFleetTest.cpp
@@ -0,0 +1,106 @@
+#include "Pimentoward/Connection/BackendFleet.h"
+
+#include "Pimentoward/Process/PreciseLoop.h"
+
+#include <catch2/catch.hpp>
+#include <event2/event.h>
+
+#include <map>
+#include <memory>
+
+using namespace pimentoward;
+
+namespace {
+
+using LoopPtr = std::unique_ptr<event_base, decltype(&event_base_free)>;
+
+BackendRecord record(const std::string &id, const std::string &domain)
+{
+    BackendRecord record;
+    record.id = id;
+    record.service = "shard";
+    record.address = {"127.0.0.1", 9};
+    record.failureDomain = domain;
+    record.slots = 2;
+    return record;
+}
+
+BackendListPtr listOf(const std::vector<BackendRecord> &records)
+{
+    auto list = std::make_shared<BackendList>();
+    list->byService["shard"] = records;
+    list->size = records.size();
+    return list;
+}
+
+RouteTablePtr routesWith(unsigned connections)
+{
+    ServiceRules rules;
+    rules.maxConnections = connections;
+    return std::make_shared<RouteTable>(
+        1, std::vector<Route>(), std::unordered_map<ServiceName, ServiceRules> {{"shard", rules}},
+        CallerLimits());
+}
+
+/// VMs that prefer each of three replicas, one in each failure domain, of a shard.
+std::map<BackendServerId, unsigned> preferredBy(std::size_t vms, unsigned connections)
+{
+    const LoopPtr loop(newPreciseLoop(), &event_base_free);
+    const auto list = listOf({record("1", "a"), record("2", "b"), record("3", "c")});
+    std::map<BackendServerId, unsigned> count;
+    for (std::size_t vm = 0; vm < vms; ++vm) {
+        BackendFleet::Settings settings;
+        settings.failureDomain = std::string(1, static_cast<char>('a' + vm % 3));
+        settings.self = "vm-" + std::to_string(vm);
+        BackendFleet fleet(loop.get(), settings, [](BackendLink &) {});
+        fleet.update(list, routesWith(connections), vms);
+        std::size_t preferred = 0;
+        for (const BackendLink *link : fleet.linksOf("shard")) {
+            if (!link->isPreferred()) {
+                continue;
+            }
+            ++count[link->record().id];
+            ++preferred;
+        }
+        // The first one is in the VM's own failure domain.
+        CHECK(fleet.linksOf("shard").front()->record().failureDomain == settings.failureDomain);
+        CHECK(preferred >= 2);
+    }
+    return count;
+}
+
+} // namespace
+
+TEST_CASE("Few VMs prefer all replicas")
+{
+    for (const auto &[id, vms] : preferredBy(7, 31)) {
+        CHECK(vms == 7);
+    }
+}
+
+TEST_CASE("More VMs than a backend server accepts spread evenly over the replicas")
+{
+    constexpr unsigned accepted = 66;
+    for (const auto &[id, vms] : preferredBy(87, accepted)) {
+        CHECK(vms <= accepted);
+        CHECK(vms >= 45);
+    }
+}
+
+TEST_CASE("A backend server that starts anew under its id gets a new link; one out of service none")
+{
+    const LoopPtr loop(newPreciseLoop(), &event_base_free);
+    BackendFleet fleet(loop.get(), {}, [](BackendLink &) {});
+    BackendRecord first = record("1", "a");
+    fleet.update(listOf({first}), routesWith(31), 1);
+    const BackendLink *before = fleet.link("1");
+    fleet.update(listOf({first}), routesWith(31), 2);
+    CHECK(fleet.link("1") == before);
+    first.incarnation = 7;
+    fleet.update(listOf({first}), routesWith(31), 2);
+    CHECK(fleet.link("1") != before);
+    fleet.update(listOf({record("2", "a")}), routesWith(31), 2);
+    CHECK(fleet.link("1") == nullptr);
+    fleet.removeEnded();
+    CHECK(fleet.size() == 1);
+}
--- a/tests/Request/DirectDecisionsTest.cpp
+++ b/tests/Request/DirectDecisionsTest.cpp
@@ -148,8 +148,8 @@
     const BackendServerId near = "near";
     const BackendServerId far = "far";
     BackendChooser chooser({});
-    BackendChooser::Candidate a {&near, true, true, false, 1};
-    BackendChooser::Candidate b {&far, false, true, false, 1};
+    BackendChooser::Candidate a {&near, true, true, true, false, 1};
+    BackendChooser::Candidate b {&far, false, true, true, false, 1};
     CHECK(chooser.choose({a, b}, SendPurpose::First).to == near);
     a.slowness = 4;
     CHECK(chooser.choose({a, b}, SendPurpose::First).to == far);
@@ -206,3 +206,19 @@
     }
     CHECK(latencies.hedgeDelay(route) <= 100ms);
 }
+
+TEST_CASE("A replica that is not preferred is used only where no preferred one can be")
+{
+    const BackendServerId mine = "mine";
+    const BackendServerId spare = "spare";
+    BackendChooser chooser({});
+    BackendChooser::Candidate a {&mine, false, true, true, false, 3};
+    BackendChooser::Candidate b {&spare, true, false, true, false, 1};
+    CHECK(chooser.choose({a, b}, SendPurpose::First).to == mine);
+    a.isSuspect = true;
+    CHECK(chooser.choose({a, b}, SendPurpose::First).to == spare);
+    CHECK(chooser.choose({a, b}, SendPurpose::Hedge).to == spare);
+    a.isSuspect = false;
+    a.hasRoom = false;
+    CHECK(chooser.choose({a, b}, SendPurpose::First).to == spare);
+}
