--- a/cmake/TierSources.cmake
+++ b/cmake/TierSources.cmake
@@ -3,6 +3,7 @@
   Core/Address.cpp
   Core/BoundedAppender.cpp
   Core/CallPacer.cpp
+  Core/Compression.cpp
   Core/Log.cpp
   Core/ResultCode.cpp
   Connection/BackendConnection.cpp
@@ -19,16 +20,23 @@
   Connection/HttpRequest.cpp
   Connection/HttpServer.cpp
   Connection/SocketOptions.cpp
-  Process/Discovery.cpp
+  Discovery/Discovery.cpp
   Process/Drain.cpp
   Process/Metrics.cpp
   Process/MetricsDistribution.cpp
   Process/PreciseLoop.cpp
-  Process/Registration.cpp
+  Discovery/FeedChooser.cpp
+  Discovery/FeedClient.cpp
+  Discovery/FeedMessages.cpp
+  Discovery/FeedServer.cpp
+  Discovery/MemberAnnouncement.cpp
+  Discovery/Registration.cpp
+  Discovery/StoreCopy.cpp
+  Process/RendezvousHash.cpp
   Process/ServingTask.cpp
-  Process/SharedMembers.cpp
+  Discovery/SharedMembers.cpp
   Process/SignalWatch.cpp
-  Process/StoreMirror.cpp
+  Discovery/StoreMirror.cpp
   Process/Task.cpp
   Process/TierProcess.cpp
   Process/Timer.cpp
--- a/src/Pimentoward/Process/Discovery.cpp
+++ b/src/Pimentoward/Discovery/Discovery.cpp
@@ -1,6 +1,7 @@
-#include "Pimentoward/Process/Discovery.h"
+#include "Pimentoward/Discovery/Discovery.h"
 
 #include "Pimentoward/Core/Log.h"
+#include "Pimentoward/Discovery/MemberAnnouncement.h"
 
 #include <algorithm>
 
@@ -34,24 +35,58 @@
     , m_hooks(std::move(hooks))
     , m_mirror(settings.mirror,
                {[this](const StoreItem &item) { onWritten(item); },
-                [this](const std::string &key) { onRemoved(key); }, [this] { onOutage(); },
-                [this] { onCurrent(); }})
-    , m_registration(loop, store, settings.registration)
+                [this](const std::string &key, Revision revision) { onRemoved(key, revision); },
+                [this] { onOutage(); }, [this](bool isList) { onCurrent(isList); }})
+    , m_registration(loop, store, registrationSettings(settings))
     , m_directory(settings.directory)
-    , m_members(settings.self, settings.members)
+    , m_members(settings.feed.self, settings.members)
+    , m_chooser(settings.feed)
+    , m_feedClient(loop)
+    , m_feedServer(loop, clock, m_copy, [this] { return freshness(); })
     , m_askTimer(loop, [this] { ask(); })
     , m_expiryTimer(loop, [this] { publish(); })
 { }
 
+Registration::Settings Discovery::registrationSettings(const Settings &settings)
+{
+    Registration::Settings registration = settings.registration;
+    registration.value = encodeMember({settings.feed.self, settings.feed.failureDomain,
+                                       settings.feed.address, settings.feed.capacity});
+    return registration;
+}
+
+bool Discovery::listen(Reason &reason)
+{
+    return m_feedServer.listen(m_settings.feed.address, reason);
+}
+
 void Discovery::start()
 {
     m_registration.start();
+    takeCensus("");
     ask();
 }
 
+void Discovery::takeCensus(const std::string &after)
+{
+    m_store.range(m_codec.memberPrefix, after,
+                  [this](const std::optional<StorePage> &page, const StoreFailure &failure) {
+                      if (!page) {
+                          LOG4CPLUS_WARN(discoveryLog(),
+                                         "event=no-census reason=\"" << failure.text << '"');
+                          return;
+                      }
+                      for (const StoreItem &item : page->items) {
+                          takeMember(item.key.substr(m_codec.memberPrefix.size()), item);
+                      }
+                      if (page->hasMore && !page->items.empty()) {
+                          takeCensus(page->items.back().key);
+                      }
+                  });
+}
+
 void Discovery::leave(std::function<void()> done)
 {
-    m_isLeaving = true;
     m_registration.leave(std::move(done));
 }
 
@@ -60,11 +95,31 @@
     std::visit([this](const auto &step) { carryOut(step); }, m_mirror.next());
 }
 
+void Discovery::logChoice(const FeedChooser::Choice &choice)
+{
+    const std::string whom = choice.vm ? choice.vm->toString() : "store";
+    if (whom != m_lastChoice) {
+        LOG4CPLUS_INFO(discoveryLog(),
+                       "event=source source=" << whom << " before=" << m_lastChoice
+                                              << " revision=" << m_mirror.revision() << " reason=\""
+                                              << choice.why << '"');
+    }
+    m_lastChoice = whom;
+}
+
 void Discovery::carryOut(const StoreMirror::List &list)
 {
+    const FeedChooser::Choice choice = m_chooser.choose(m_clock.now());
+    logChoice(choice);
+    m_asked = choice.vm;
+    if (choice.vm) {
+        listFrom(*choice.vm, list.after);
+        return;
+    }
     m_store.range(m_settings.mirror.prefix, list.after,
                   [this](const std::optional<StorePage> &page, const StoreFailure &failure) {
                       if (page) {
+                          onStoreAnswered();
                           m_mirror.onPage(*page);
                       } else {
                           onFailed(failure);
@@ -75,9 +130,19 @@
 
 void Discovery::carryOut(const StoreMirror::Watch &watch)
 {
-    m_store.watch(m_settings.mirror.prefix, watch.after, m_settings.mirror.watchTime,
+    const FeedChooser::Choice choice = m_chooser.choose(m_clock.now());
+    logChoice(choice);
+    m_asked = choice.vm;
+    const Duration wait
+        = m_chooser.isRelaying() ? m_settings.relayedWatchTime : m_settings.mirror.watchTime;
+    if (choice.vm) {
+        watchFrom(*choice.vm, watch.after, wait);
+        return;
+    }
+    m_store.watch(m_settings.mirror.prefix, watch.after, wait,
                   [this](const std::optional<StoreChanges> &changes, const StoreFailure &failure) {
                       if (changes) {
+                          onStoreAnswered();
                           m_mirror.onChanges(*changes);
                       } else {
                           onFailed(failure);
@@ -91,6 +156,81 @@
     m_askTimer.startOnce(pause.time);
 }
 
+void Discovery::listFrom(const Address &vm, const std::string &after)
+{
+    m_feedClient.range(
+        vm, after, [this, vm](const std::optional<FeedPage> &page, const StoreFailure &failure) {
+            if (!page) {
+                onVmFailed(vm, failure);
+            } else if (takeFreshness(vm, page->freshness, page->page.revision)) {
+                m_mirror.onPage(page->page);
+            }
+            ask();
+        });
+}
+
+void Discovery::watchFrom(const Address &vm, Revision after, Duration wait)
+{
+    m_feedClient.watch(
+        vm, after, wait,
+        [this, vm](const std::optional<FeedChanges> &changes, const StoreFailure &failure) {
+            if (!changes) {
+                onVmFailed(vm, failure);
+            } else if (takeFreshness(vm, changes->freshness, changes->changes.revision)) {
+                m_mirror.onChanges(changes->changes);
+            }
+            ask();
+        });
+}
+
+void Discovery::onStoreAnswered()
+{
+    m_knownAt = m_clock.now();
+    m_chooser.onStore(true);
+}
+
+bool Discovery::takeFreshness(const Address &vm, const FeedFreshness &freshness, Revision revision)
+{
+    const SteadyTime now = m_clock.now();
+    m_chooser.onAnswered(vm, freshness.age, now);
+    if (freshness.sinceOutage) {
+        const SteadyTime outageAt = now - *freshness.sinceOutage;
+        m_outageAt = std::max(m_outageAt.value_or(outageAt), outageAt);
+        m_directory.onOutage(*m_outageAt);
+    }
+    if (revision < m_mirror.revision()) {
+        onVmFailed(vm, {StoreError::Refused, "VM knows less than this one"});
+        return false;
+    }
+    m_knownAt = std::max(m_knownAt, now - freshness.age);
+    return true;
+}
+
+void Discovery::onVmFailed(const Address &vm, const StoreFailure &failure)
+{
+    if (failure.error == StoreError::Refused) {
+        m_chooser.onUnready(vm, m_clock.now());
+    } else if (failure.error != StoreError::HistoryGone) {
+        m_chooser.onFailed(vm, m_clock.now());
+    }
+    LOG4CPLUS_INFO(discoveryLog(),
+                   "event=vm-not-followed vm=" << vm.toString()
+                                               << " revision=" << m_mirror.revision()
+                                               << " reason=\"" << failure.text << '"');
+    m_mirror.onFailed(failure);
+}
+
+FeedFreshness Discovery::freshness() const
+{
+    const SteadyTime now = m_clock.now();
+    FeedFreshness freshness;
+    freshness.age = now - m_knownAt;
+    if (m_outageAt) {
+        freshness.sinceOutage = now - *m_outageAt;
+    }
+    return freshness;
+}
+
 void Discovery::onFailed(const StoreFailure &failure)
 {
     if (!m_isStoreLost) {
@@ -100,20 +240,31 @@
                                                     << " reason=\"" << failure.text << '"');
     }
     m_isStoreLost = true;
+    m_chooser.onStore(false);
     m_mirror.onFailed(failure);
 }
 
 void Discovery::onOutage()
 {
-    m_directory.onOutage(m_clock.now());
+    if (m_asked) {
+        // Another VM failed, which says nothing of the store.
+        return;
+    }
+    m_outageAt = m_clock.now();
+    m_directory.onOutage(*m_outageAt);
 }
 
-void Discovery::onCurrent()
+void Discovery::onCurrent(bool isList)
 {
     if (m_isStoreLost) {
         LOG4CPLUS_INFO(discoveryLog(), "event=store-regained revision=" << m_mirror.revision());
     }
     m_isStoreLost = false;
+    if (isList) {
+        m_copy.forgetHistory(m_mirror.revision());
+    }
+    m_copy.onCurrent(m_mirror.revision());
+    m_feedServer.onChanged();
     if (m_unreadSettings) {
         takeRoutes(*m_unreadSettings);
         m_unreadSettings.reset();
@@ -123,6 +274,7 @@
 
 void Discovery::onWritten(const StoreItem &item)
 {
+    m_copy.onWritten(item);
     if (item.key == m_codec.settingsKey) {
         // Only the newest version of one answer is worth reading.
         m_unreadSettings = item;
@@ -133,12 +285,26 @@
                        "event=domain-out domain=" << *domain << " revision=" << item.revision);
         m_directory.onDomainOut(*domain, true);
     } else if (const auto member = rest(item.key, m_codec.memberPrefix)) {
-        m_members.onPresent(*member);
+        takeMember(*member, item);
+    }
+}
+
+void Discovery::takeMember(const MemberId &member, const StoreItem &item)
+{
+    m_members.onPresent(member);
+    Reason reason;
+    if (const auto announced = decodeMember(member, item.value, reason)) {
+        m_chooser.onPresent(*announced);
+        return;
     }
+    LOG4CPLUS_WARN(discoveryLog(),
+                   "event=member-unreadable member=" << member << " revision=" << item.revision
+                                                     << " reason=\"" << reason.text << '"');
 }
 
-void Discovery::onRemoved(const std::string &key)
+void Discovery::onRemoved(const std::string &key, Revision revision)
 {
+    m_copy.onRemoved(key, revision);
     if (const auto id = rest(key, m_codec.backendPrefix)) {
         LOG4CPLUS_INFO(discoveryLog(), "event=backend-gone backend=" << *id);
         m_directory.onRemoved(*id, m_clock.now());
@@ -148,7 +314,8 @@
     } else if (const auto member = rest(key, m_codec.memberPrefix)) {
         LOG4CPLUS_INFO(discoveryLog(), "event=member-gone member=" << *member);
         m_members.onVanished(*member, m_clock.now());
-        if (*member == m_settings.self) {
+        m_chooser.onVanished(*member);
+        if (*member == m_settings.feed.self) {
             m_registration.onVanished();
         }
     }
--- a/src/Pimentoward/Process/Discovery.h
+++ b/src/Pimentoward/Discovery/Discovery.h
@@ -1,10 +1,14 @@
 #pragma once
 
 #include "Pimentoward/Core/Clock.h"
-#include "Pimentoward/Process/KeyValueStore.h"
-#include "Pimentoward/Process/Registration.h"
-#include "Pimentoward/Process/SharedMembers.h"
-#include "Pimentoward/Process/StoreMirror.h"
+#include "Pimentoward/Discovery/FeedChooser.h"
+#include "Pimentoward/Discovery/FeedClient.h"
+#include "Pimentoward/Discovery/FeedServer.h"
+#include "Pimentoward/Discovery/KeyValueStore.h"
+#include "Pimentoward/Discovery/Registration.h"
+#include "Pimentoward/Discovery/SharedMembers.h"
+#include "Pimentoward/Discovery/StoreCopy.h"
+#include "Pimentoward/Discovery/StoreMirror.h"
 #include "Pimentoward/Process/Timer.h"
 #include "Pimentoward/Version/BackendDirectory.h"
 #include "Pimentoward/Version/RouteTable.h"
@@ -33,16 +37,18 @@
     std::function<RouteTablePtr(const std::string &value, Reason &)> readRoutes;
 };
 
-/// Learns settings, backend servers and other VMs from the store, and tells what is in force.
-/// Belongs to one task.
+/// Learns settings, backend servers and other VMs from the store or from VMs that know it, hands on
+/// what it has learned, and tells what is in force. Belongs to one task.
 class Discovery
 {
 public:
     struct Settings
     {
-        MemberId self;
-        /// What other VMs may learn of this one.
-        std::string memberValue;
+        /// Whom to ask; also this VM's name, failure domain and address for others.
+        FeedChooser::Settings feed;
+        /// Longest time that a call waits for changes where VMs hand them on: bounds how old
+        /// knowledge gets unnoticed on its way.
+        Duration relayedWatchTime = std::chrono::milliseconds(1500);
         StoreMirror::Settings mirror;
         Registration::Settings registration;
         BackendDirectory::Settings directory;
@@ -60,20 +66,35 @@
     Discovery(event_base *loop, const Clock &clock, KeyValueStore &store, RecordCodec codec,
               const Settings &settings, Hooks hooks);
 
+    /// Binds the address for other VMs; false with InvalidSetting in `reason` where that fails.
+    bool listen(Reason &reason);
     void start();
     /// Removes this VM from the list of those that share limits.
     void leave(std::function<void()> done);
 
 private:
+    static Registration::Settings registrationSettings(const Settings &settings);
+    /// Asks the store which VMs there are while the list begins, so that many VMs that start at
+    /// once leave the rest of it to a few.
+    void takeCensus(const std::string &after);
     void ask();
     void carryOut(const StoreMirror::List &list);
     void carryOut(const StoreMirror::Watch &watch);
     void carryOut(const StoreMirror::Pause &pause);
+    void listFrom(const Address &vm, const std::string &after);
+    void watchFrom(const Address &vm, Revision after, Duration wait);
+    void onStoreAnswered();
     void onFailed(const StoreFailure &failure);
+    /// A VM has answered with knowledge of this age; false where it is older than this VM's own.
+    bool takeFreshness(const Address &vm, const FeedFreshness &freshness, Revision revision);
+    void onVmFailed(const Address &vm, const StoreFailure &failure);
+    FeedFreshness freshness() const;
     void onWritten(const StoreItem &item);
-    void onRemoved(const std::string &key);
+    void onRemoved(const std::string &key, Revision revision);
     void onOutage();
-    void onCurrent();
+    void onCurrent(bool isList);
+    void takeMember(const MemberId &member, const StoreItem &item);
+    void logChoice(const FeedChooser::Choice &choice);
     void takeBackend(const BackendServerId &id, const StoreItem &item);
     void takeRoutes(const StoreItem &item);
     void publish();
@@ -88,13 +109,23 @@
     Registration m_registration;
     BackendDirectory m_directory;
     SharedMembers m_members;
+    StoreCopy m_copy;
+    FeedChooser m_chooser;
+    FeedClient m_feedClient;
+    FeedServer m_feedServer;
+    /// Whom the last call asked; nothing for the store itself.
+    std::optional<Address> m_asked;
+    std::string m_lastChoice;
+    /// When this VM's knowledge was the store's at last.
+    SteadyTime m_knownAt {};
+    /// When the store was last seen failing, here or where this VM learns from.
+    std::optional<SteadyTime> m_outageAt;
     /// The newest settings document that has not been read yet.
     std::optional<StoreItem> m_unreadSettings;
     RouteTablePtr m_routes;
     BackendListPtr m_publishedBackends;
     std::size_t m_publishedMembers = 0;
     bool m_isStoreLost = false;
-    bool m_isLeaving = false;
     Timer m_askTimer;
     Timer m_expiryTimer;
 };
--- /dev/null
+++ b/src/Pimentoward/Discovery/FeedClient.cpp
@@ -0,0 +1,86 @@
+#include "Pimentoward/Discovery/FeedClient.h"
+
+#include "Pimentoward/Discovery/FeedPaths.h"
+
+#include <event2/http.h>
+
+#include <cstdlib>
+
+namespace pimentoward {
+
+namespace {
+
+/// A VM answers from memory; one that takes longer is frozen, cut off or gone.
+constexpr std::chrono::milliseconds rangeTimeout {1000};
+constexpr std::chrono::milliseconds watchMargin {700};
+
+std::string escaped(const std::string &text)
+{
+    const std::unique_ptr<char, decltype(&std::free)> encoded(
+        evhttp_uriencode(text.data(), static_cast<ev_ssize_t>(text.size()), 0), &std::free);
+    return encoded ? encoded.get() : "";
+}
+
+StoreFailure failureOf(int status)
+{
+    constexpr int gone = 410;
+    return {status == gone ? StoreError::HistoryGone : StoreError::Refused,
+            "VM answers with status " + std::to_string(status)};
+}
+
+template <typename Message, typename Decode>
+HttpConnection::DoneHook hookFor(KeyValueStore::Hook<Message> done, Decode decode)
+{
+    return [done = std::move(done), decode](const std::optional<HttpAnswer> &answer,
+                                            const Reason &reason) {
+        constexpr int ok = 200;
+        if (!answer) {
+            done(std::nullopt, {StoreError::Unanswered, "VM: " + reason.text});
+            return;
+        }
+        if (answer->status != ok) {
+            done(std::nullopt, failureOf(answer->status));
+            return;
+        }
+        Reason malformed;
+        std::optional<Message> message = decode(answer->body, malformed);
+        const bool isRead = message.has_value();
+        done(std::move(message),
+             isRead ? StoreFailure() : StoreFailure {StoreError::Malformed, malformed.text});
+    };
+}
+
+} // namespace
+
+FeedClient::FeedClient(event_base *loop)
+    : m_loop(loop)
+{ }
+
+HttpClient &FeedClient::clientOf(const Address &vm)
+{
+    std::unique_ptr<HttpClient> &client = m_clients[vm.toString()];
+    if (!client) {
+        client = std::make_unique<HttpClient>(m_loop, vm);
+    }
+    return *client;
+}
+
+void FeedClient::range(const Address &vm, const std::string &after, PageHook done)
+{
+    HttpCall call;
+    call.target = std::string(feedRangePath) + "?after=" + escaped(after);
+    call.timeout = rangeTimeout;
+    clientOf(vm).send(call, hookFor<FeedPage>(std::move(done), &decodeFeedPage));
+}
+
+void FeedClient::watch(const Address &vm, Revision after, Duration wait, ChangesHook done)
+{
+    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(wait);
+    HttpCall call;
+    call.target = std::string(feedWatchPath) + "?after=" + std::to_string(after)
+        + "&waitMs=" + std::to_string(milliseconds.count());
+    call.timeout = wait + watchMargin;
+    clientOf(vm).send(call, hookFor<FeedChanges>(std::move(done), &decodeFeedChanges));
+}
+
+} // namespace pimentoward
--- /dev/null
+++ b/src/Pimentoward/Discovery/FeedClient.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "Pimentoward/Connection/HttpClient.h"
+#include "Pimentoward/Discovery/FeedMessages.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+struct event_base;
+
+namespace pimentoward {
+
+/// Asks other VMs for their copies of the store. Belongs to one task; hooks run on its loop, never
+/// inside the call.
+class FeedClient
+{
+public:
+    using PageHook = KeyValueStore::Hook<FeedPage>;
+    using ChangesHook = KeyValueStore::Hook<FeedChanges>;
+
+    explicit FeedClient(event_base *loop);
+
+    void range(const Address &vm, const std::string &after, PageHook done);
+    void watch(const Address &vm, Revision after, Duration wait, ChangesHook done);
+
+private:
+    HttpClient &clientOf(const Address &vm);
+
+    event_base *m_loop;
+    std::map<std::string, std::unique_ptr<HttpClient>> m_clients;
+};
+
+} // namespace pimentoward
--- /dev/null
+++ b/src/Pimentoward/Discovery/FeedMessages.cpp
@@ -0,0 +1,185 @@
+#include "Pimentoward/Discovery/FeedMessages.h"
+
+#include "Pimentoward/Core/Compression.h"
+
+#include <nlohmann/json.hpp>
+
+namespace pimentoward {
+
+namespace {
+
+using Json = nlohmann::json;
+
+/// Longest time that a message may state.
+constexpr std::int64_t longestMilliseconds = 1'000'000'000;
+/// Longest message before packing, in bytes.
+constexpr std::size_t longestMessage = 64 << 20;
+
+std::int64_t milliseconds(Duration time)
+{
+    return std::min(std::chrono::duration_cast<std::chrono::milliseconds>(time).count(),
+                    longestMilliseconds);
+}
+
+Json itemJson(const StoreItem &item)
+{
+    return {{"key", item.key},
+            {"value", Json::binary({item.value.begin(), item.value.end()})},
+            {"revision", item.revision}};
+}
+
+void addFreshness(Json &json, const FeedFreshness &freshness)
+{
+    json["ageMs"] = milliseconds(freshness.age);
+    if (freshness.sinceOutage) {
+        json["sinceOutageMs"] = milliseconds(*freshness.sinceOutage);
+    }
+}
+
+std::string bytesOf(const Json &json)
+{
+    // Settings with hundreds of routes go to many VMs over thin links, and are mostly repetition.
+    const std::vector<std::uint8_t> bytes = Json::to_cbor(json);
+    return compress({bytes.begin(), bytes.end()});
+}
+
+bool isCount(const Json &json, const char *name)
+{
+    return json.contains(name) && json[name].is_number_unsigned();
+}
+
+bool isTime(const Json &json, const char *name)
+{
+    return isCount(json, name) && json[name].get<std::uint64_t>() <= longestMilliseconds;
+}
+
+std::optional<StoreItem> itemOf(const Json &json)
+{
+    if (!json.is_object() || !json.contains("key") || !json["key"].is_string()
+        || !isCount(json, "revision")) {
+        return std::nullopt;
+    }
+    StoreItem item;
+    item.key = json["key"].get<std::string>();
+    item.revision = json["revision"].get<Revision>();
+    if (const auto value = json.find("value"); value != json.end()) {
+        if (!value->is_binary()) {
+            return std::nullopt;
+        }
+        item.value.assign(value->get_binary().begin(), value->get_binary().end());
+    }
+    return item;
+}
+
+FeedFreshness freshnessOf(const Json &json)
+{
+    FeedFreshness freshness;
+    freshness.age = std::chrono::milliseconds(json["ageMs"].get<std::int64_t>());
+    if (isTime(json, "sinceOutageMs")) {
+        freshness.sinceOutage
+            = std::chrono::milliseconds(json["sinceOutageMs"].get<std::int64_t>());
+    }
+    return freshness;
+}
+
+/// The decoded bytes; a discarded value where they are malformed.
+Json unpack(const std::string &bytes)
+{
+    constexpr bool isStrict = true;
+    constexpr bool throws = false;
+    const auto unpacked = decompress(bytes, longestMessage);
+    if (!unpacked) {
+        return {Json::value_t::discarded};
+    }
+    try {
+        return Json::from_cbor(*unpacked, isStrict, throws);
+    } catch (const Json::exception &) {
+        // A length beyond what the library can hold throws all the same.
+        return {Json::value_t::discarded};
+    }
+}
+
+/// The message where it has what both kinds have; `list` names its entries.
+std::optional<Json> parse(const std::string &bytes, const char *list, Reason &reason)
+{
+    Json json = unpack(bytes);
+    const bool isSound = json.is_object() && isCount(json, "revision") && isTime(json, "ageMs")
+        && json.contains(list) && json[list].is_array();
+    if (!isSound) {
+        reason = {ResultCode::InvalidMessage, "no message of a store copy"};
+        return std::nullopt;
+    }
+    return json;
+}
+
+} // namespace
+
+std::string encode(const FeedPage &message)
+{
+    Json json = {{"revision", message.page.revision}, {"hasMore", message.page.hasMore}};
+    json["items"] = Json::array();
+    for (const StoreItem &item : message.page.items) {
+        json["items"].push_back(itemJson(item));
+    }
+    addFreshness(json, message.freshness);
+    return bytesOf(json);
+}
+
+std::string encode(const FeedChanges &message)
+{
+    Json json = {{"revision", message.changes.revision}};
+    json["events"] = Json::array();
+    for (const StoreEvent &event : message.changes.events) {
+        Json entry = itemJson(event.item);
+        if (event.isRemoved) {
+            entry.erase("value");
+        }
+        json["events"].push_back(std::move(entry));
+    }
+    addFreshness(json, message.freshness);
+    return bytesOf(json);
+}
+
+std::optional<FeedPage> decodeFeedPage(const std::string &bytes, Reason &reason)
+{
+    const auto json = parse(bytes, "items", reason);
+    if (!json) {
+        return std::nullopt;
+    }
+    FeedPage message;
+    message.page.revision = (*json)["revision"].get<Revision>();
+    message.page.hasMore = json->contains("hasMore") && (*json)["hasMore"] == true;
+    for (const Json &entry : (*json)["items"]) {
+        std::optional<StoreItem> item = itemOf(entry);
+        if (!item) {
+            reason = {ResultCode::InvalidMessage, "an item is malformed"};
+            return std::nullopt;
+        }
+        message.page.items.push_back(std::move(*item));
+    }
+    message.freshness = freshnessOf(*json);
+    return message;
+}
+
+std::optional<FeedChanges> decodeFeedChanges(const std::string &bytes, Reason &reason)
+{
+    const auto json = parse(bytes, "events", reason);
+    if (!json) {
+        return std::nullopt;
+    }
+    FeedChanges message;
+    message.changes.revision = (*json)["revision"].get<Revision>();
+    for (const Json &entry : (*json)["events"]) {
+        std::optional<StoreItem> item = itemOf(entry);
+        if (!item) {
+            reason = {ResultCode::InvalidMessage, "an event is malformed"};
+            return std::nullopt;
+        }
+        const bool isRemoved = !entry.contains("value");
+        message.changes.events.push_back({std::move(*item), isRemoved});
+    }
+    message.freshness = freshnessOf(*json);
+    return message;
+}
+
+} // namespace pimentoward
--- a/src/Pimentoward/Process/Registration.cpp
+++ b/src/Pimentoward/Discovery/Registration.cpp
@@ -1,4 +1,4 @@
-#include "Pimentoward/Process/Registration.h"
+#include "Pimentoward/Discovery/Registration.h"
 
 #include "Pimentoward/Core/Log.h"
 
--- a/src/Pimentoward/Process/SharedMembers.cpp
+++ b/src/Pimentoward/Discovery/SharedMembers.cpp
@@ -1,4 +1,4 @@
-#include "Pimentoward/Process/SharedMembers.h"
+#include "Pimentoward/Discovery/SharedMembers.h"
 
 #include <algorithm>
 
--- a/src/Pimentoward/Process/StoreMirror.cpp
+++ b/src/Pimentoward/Discovery/StoreMirror.cpp
@@ -1,4 +1,4 @@
-#include "Pimentoward/Process/StoreMirror.h"
+#include "Pimentoward/Discovery/StoreMirror.h"
 
 #include <algorithm>
 
@@ -48,7 +48,7 @@
         return;
     }
     m_revisions.erase(found);
-    m_hooks.onRemoved(key);
+    m_hooks.onRemoved(key, revision);
 }
 
 void StoreMirror::onPage(const StorePage &page)
@@ -86,7 +86,7 @@
     m_listRevision = 0;
     m_isListing = false;
     m_isComplete = true;
-    m_hooks.onCurrent();
+    m_hooks.onCurrent(true);
 }
 
 void StoreMirror::onChanges(const StoreChanges &changes)
@@ -101,7 +101,7 @@
     }
     m_revision = std::max(m_revision, changes.revision);
     m_hasChanged = !changes.events.empty();
-    m_hooks.onCurrent();
+    m_hooks.onCurrent(false);
 }
 
 void StoreMirror::onFailed(const StoreFailure &failure)
--- a/src/Pimentoward/Process/StoreMirror.h
+++ b/src/Pimentoward/Discovery/StoreMirror.h
@@ -1,7 +1,8 @@
 #pragma once
 
-#include "Pimentoward/Process/KeyValueStore.h"
+#include "Pimentoward/Discovery/KeyValueStore.h"
 
+#include <algorithm>
 #include <functional>
 #include <random>
 #include <set>
@@ -53,11 +54,11 @@
     struct Hooks
     {
         std::function<void(const StoreItem &)> onWritten;
-        std::function<void(const std::string &key)> onRemoved;
-        /// The store did not answer, or refused this VM.
+        std::function<void(const std::string &key, Revision)> onRemoved;
+        /// Whoever was asked did not answer, or refused.
         std::function<void()> onOutage;
-        /// All that one answer told has been handed on.
-        std::function<void()> onCurrent;
+        /// All that one answer told has been handed on; `isList` where it was the end of a list.
+        std::function<void(bool isList)> onCurrent;
     };
 
     StoreMirror(const Settings &settings, Hooks hooks);
@@ -69,7 +70,8 @@
     void onFailed(const StoreFailure &failure);
     /// True once a whole list has come.
     bool isComplete() const { return m_isComplete; }
-    Revision revision() const { return m_revision; }
+    /// Up to where the copy is known; while a list runs, as of its first page.
+    Revision revision() const { return std::max(m_revision, m_listRevision); }
 
 private:
     void apply(const StoreItem &item);
--- a/src/Pimentoward/Process/TierProcess.h
+++ b/src/Pimentoward/Process/TierProcess.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "Pimentoward/Core/SystemClock.h"
-#include "Pimentoward/Process/Discovery.h"
+#include "Pimentoward/Discovery/Discovery.h"
 #include "Pimentoward/Process/Drain.h"
 #include "Pimentoward/Process/ServingTask.h"
 #include "Pimentoward/Process/SignalWatch.h"
@@ -32,7 +32,7 @@
                 ReloadHook onReload);
 
     /// Binds all addresses; false with InvalidSetting in `reason` where that fails.
-    bool listen(Reason &reason) { return m_serving.listen(reason); }
+    bool listen(Reason &reason) { return m_serving.listen(reason) && m_discovery.listen(reason); }
     /// Serves until a planned stop has ended.
     void serve();
     ServingTask &serving() { return m_serving; }
--- a/standins/KeyValueModel.h
+++ b/standins/KeyValueModel.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Pimentoward/Process/KeyValueStore.h"
+#include "Pimentoward/Discovery/KeyValueStore.h"
 
 #include <deque>
 #include <map>
--- /dev/null
+++ b/tests/Discovery/FeedChooserTest.cpp
@@ -0,0 +1,176 @@
+#include "Pimentoward/Discovery/FeedChooser.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <vector>
+
+using namespace pimentoward;
+using namespace std::chrono_literals;
+
+namespace {
+
+const SteadyTime start {std::chrono::hours(1)};
+constexpr std::size_t manyVms = 87;
+
+FeedChooser::Member member(std::size_t index)
+{
+    const std::string domain(1, static_cast<char>('a' + index % 3));
+    return {
+        "vm-" + std::to_string(index), domain, {"10.0.0." + std::to_string(index + 1), 7000}, 0};
+}
+
+/// The choosers of VMs that all know each other.
+std::vector<FeedChooser> choosers(std::size_t vms)
+{
+    std::vector<FeedChooser> result;
+    for (std::size_t index = 0; index < vms; ++index) {
+        FeedChooser::Settings settings;
+        settings.self = member(index).id;
+        settings.failureDomain = member(index).failureDomain;
+        settings.address = member(index).address;
+        result.emplace_back(settings);
+        for (std::size_t other = 0; other < vms; ++other) {
+            result.back().onPresent(member(other));
+        }
+    }
+    return result;
+}
+
+std::size_t direct(const std::vector<FeedChooser> &choosers, SteadyTime now)
+{
+    std::size_t count = 0;
+    for (const FeedChooser &chooser : choosers) {
+        count += chooser.choose(now).vm ? 0 : 1;
+    }
+    return count;
+}
+
+} // namespace
+
+TEST_CASE("Few VMs ask the store themselves; of many, one in each failure domain does")
+{
+    CHECK(direct(choosers(7), start) == 7);
+    CHECK(direct(choosers(12), start) == 12);
+    CHECK(direct(choosers(13), start) == 3);
+    CHECK(direct(choosers(manyVms), start) == 3);
+}
+
+TEST_CASE(
+    "A VM asks in its own failure domain first, and elsewhere where that one fails or is behind")
+{
+    auto all = choosers(manyVms);
+    for (std::size_t index = 0; index < manyVms; ++index) {
+        FeedChooser &chooser = all[index];
+        const auto first = chooser.choose(start);
+        if (!first.vm) {
+            continue;
+        }
+        const auto domainOf
+            = [](const Address &address) { return (std::stoul(address.host.substr(7)) - 1) % 3; };
+        CHECK(domainOf(*first.vm) == index % 3);
+        chooser.onFailed(*first.vm, start);
+        const auto second = chooser.choose(start);
+        REQUIRE(second.vm.has_value());
+        CHECK(domainOf(*second.vm) != index % 3);
+        chooser.onAnswered(*second.vm, 10s, start);
+        const auto third = chooser.choose(start);
+        REQUIRE(third.vm.has_value());
+        CHECK(*third.vm != *second.vm);
+        CHECK(*chooser.choose(start + 3s).vm == *first.vm);
+    }
+}
+
+TEST_CASE("Where all are behind, only a few more VMs ask the store, and the rest the least behind")
+{
+    auto all = choosers(manyVms);
+    for (FeedChooser &chooser : all) {
+        for (std::size_t round = 0; round < 10; ++round) {
+            if (const auto choice = chooser.choose(start); choice.vm) {
+                chooser.onAnswered(*choice.vm, 5s + round * 1s, start);
+            }
+        }
+    }
+    CHECK(direct(all, start) == 6);
+    CHECK(direct(all, start + 3s) == 3);
+}
+
+TEST_CASE("Where no VM answers, each is asked again until the store is asked")
+{
+    auto all = choosers(manyVms);
+    for (FeedChooser &chooser : all) {
+        for (std::size_t round = 0; round < 10; ++round) {
+            if (const auto choice = chooser.choose(start); choice.vm) {
+                chooser.onUnready(*choice.vm, start);
+            }
+        }
+    }
+    // Two in each failure domain ask the store at once, so that the others soon learn from them.
+    CHECK(direct(all, start) == 6);
+    CHECK(direct(all, start + 2500ms) == manyVms);
+}
+
+TEST_CASE("A VM asks seeds only where the store does not answer it")
+{
+    FeedChooser::Settings settings;
+    settings.self = "vm-9";
+    settings.failureDomain = "a";
+    settings.seeds = {member(0).address};
+    FeedChooser chooser(settings);
+    CHECK_FALSE(chooser.choose(start).vm.has_value());
+    chooser.onStore(false);
+    CHECK(chooser.choose(start).vm.has_value());
+    chooser.onStore(true);
+    CHECK_FALSE(chooser.choose(start).vm.has_value());
+}
+
+TEST_CASE("A VM asks the store itself once nobody has answered for too long")
+{
+    auto all = choosers(manyVms);
+    for (FeedChooser &chooser : all) {
+        const auto first = chooser.choose(start);
+        if (!first.vm) {
+            continue;
+        }
+        chooser.onFailed(*first.vm, start);
+        CHECK(chooser.choose(start + 2s).vm.has_value());
+        CHECK_FALSE(chooser.choose(start + 2500ms).vm.has_value());
+        chooser.onAnswered(*first.vm, 1s, start + 3s);
+        CHECK(chooser.choose(start + 4s).vm.has_value());
+    }
+}
+
+TEST_CASE("The VM that can carry the most asks the store for its failure domain")
+{
+    auto all = choosers(manyVms);
+    FeedChooser::Member strong = member(30);
+    strong.capacity = 100;
+    for (std::size_t index = 0; index < manyVms; index += 3) {
+        all[index].onPresent(strong);
+        const auto choice = all[index].choose(start);
+        CHECK((index == 30 ? !choice.vm : choice.vm == strong.address));
+    }
+}
+
+TEST_CASE("A VM that knows no other asks the seeds, unless it is one, then the store")
+{
+    FeedChooser::Settings settings;
+    settings.self = "vm-9";
+    settings.failureDomain = "a";
+    settings.address = member(9).address;
+    settings.seeds = {member(0).address, member(1).address};
+    FeedChooser chooser(settings);
+    chooser.onStore(false);
+    const auto first = chooser.choose(start).vm;
+    REQUIRE(first.has_value());
+    chooser.onFailed(*first, start);
+    const auto second = chooser.choose(start).vm;
+    REQUIRE(second.has_value());
+    CHECK(*second != *first);
+    chooser.onUnready(*second, start);
+    // Both may be starting too.
+    CHECK(chooser.choose(start + 300ms).vm == second);
+    CHECK_FALSE(chooser.choose(start + 1200ms).vm.has_value());
+    settings.address = member(1).address;
+    CHECK_FALSE(FeedChooser(settings).choose(start).vm.has_value());
+}
--- a/tests/Process/StoreMirrorTest.cpp
+++ b/tests/Discovery/StoreMirrorTest.cpp
@@ -1,4 +1,4 @@
-#include "Pimentoward/Process/StoreMirror.h"
+#include "Pimentoward/Discovery/StoreMirror.h"
 
 #include "standins/KeyValueModel.h"
 
@@ -20,8 +20,8 @@
     unsigned outages = 0;
     StoreMirror mirror {StoreMirror::Settings(),
                         {[this](const StoreItem &item) { copy[item.key] = item.value; },
-                         [this](const std::string &key) { copy.erase(key); }, [this] { ++outages; },
-                         [] {}}};
+                         [this](const std::string &key, Revision) { copy.erase(key); },
+                         [this] { ++outages; }, [](bool) {}}};
 
     /// Carries one step out against the store.
     void step(KeyValueModel &store)
--- a/tests/Process/TierRulesTest.cpp
+++ b/tests/Process/TierRulesTest.cpp
@@ -453,3 +453,52 @@
     CHECK(world.vm(0).backends() == 13);
     CHECK(world.ask(request("/one/x")).status == 200);
 }
+
+TEST_CASE("VMs that learn from others follow changes, also when the one that they ask is gone",
+          "[rules]")
+{
+    TierWorld::Settings settings;
+    settings.vms = 6;
+    settings.adjustDiscovery = [](Discovery::Settings &discovery) {
+        discovery.feed.mostDirect = 2;
+        discovery.feed.ageLimit = 900ms;
+        discovery.feed.failurePause = 1s;
+        discovery.relayedWatchTime = 400ms;
+    };
+    TierWorld world(settings);
+    REQUIRE(world.waitUntilKnown());
+    world.run(1s);
+    const std::uint64_t before = world.store().calls().at("/-/kv-watch");
+    world.run(2s);
+    const std::uint64_t watches = world.store().calls().at("/-/kv-watch") - before;
+    // Three VMs ask the store each 400 ms; six would make twice as many calls.
+    CHECK(watches <= 3 * 2000 / 400 + 3);
+    CHECK(watches >= 3);
+    // Each VM but the last two goes, the ones that ask the store among them.
+    for (std::size_t gone = 0; gone < 4; ++gone) {
+        world.stopVm(gone);
+        world.site().writeSettings();
+        world.run(2s);
+        for (std::size_t vm = gone + 1; vm < settings.vms; ++vm) {
+            CHECK(world.vm(vm).settingsVersion() == gone + 2);
+        }
+    }
+}
+
+TEST_CASE("A VM that starts while the store is away learns from the others and serves", "[rules]")
+{
+    std::vector<Address> seeds;
+    TierWorld::Settings settings;
+    settings.vms = 2;
+    settings.adjustDiscovery = [&seeds](Discovery::Settings &discovery) {
+        discovery.feed.seeds = seeds;
+        seeds.push_back(discovery.feed.address);
+    };
+    TierWorld world(settings);
+    REQUIRE(world.waitUntilKnown());
+    world.store().changeMode(KeyValueServer::Mode::Down);
+    world.stopVm(1);
+    world.startVm(1);
+    world.run(1500ms);
+    CHECK(world.ask(request("/all/x", 1)).status == 200);
+}
--- a/tests/Request/DirectDecisionsTest.cpp
+++ b/tests/Request/DirectDecisionsTest.cpp
@@ -1,5 +1,5 @@
 #include "Pimentoward/Connection/BackendHealth.h"
-#include "Pimentoward/Process/SharedMembers.h"
+#include "Pimentoward/Discovery/SharedMembers.h"
 #include "Pimentoward/Request/AnswerTiming.h"
 #include "Pimentoward/Request/BackendChooser.h"
 #include "Pimentoward/Request/RecordMerge.h"
--- a/tests/platform/PlatformSettingsTest.cpp
+++ b/tests/platform/PlatformSettingsTest.cpp
@@ -50,7 +50,8 @@
     CHECK(serving.forwarder.retryBudget.fixedForAll == 54);
     CHECK(serving.forwarder.retryBudget.window == 8s);
     CHECK(settings->process.drain.limit < 6s);
-    CHECK(settings->process.discovery.self == "vm-1");
+    CHECK(settings->process.discovery.feed.self == "vm-1");
+    CHECK(settings->process.discovery.feed.address.toString() == "10.1.0.9:7395");
 }
 
 TEST_CASE("A settings file that cannot be used is refused with a reason that names the field")
--- a/tests/support/TierWorld.cpp
+++ b/tests/support/TierWorld.cpp
@@ -42,26 +42,31 @@
     return settings;
 }
 
-Discovery::Settings discoverySettings(const std::string &name)
+Discovery::Settings discoverySettings(const std::string &name, const std::string &domain,
+                                      const TierNode::AdjustDiscovery &adjust)
 {
     Discovery::Settings settings;
-    settings.self = name;
+    settings.feed.self = name;
+    settings.feed.failureDomain = domain;
+    settings.feed.address = freeAddress();
     settings.registration.key = platform::wire::memberPrefix + name;
-    settings.registration.value = "{}";
     settings.registration.timeToLive = 2s;
     settings.registration.renewPeriod = 500ms;
     settings.mirror.watchTime = 500ms;
+    adjust(settings);
     return settings;
 }
 
 } // namespace
 
 TierNode::TierNode(event_base *loop, const std::string &name, const std::string &domain,
-                   const Address &store, const Adjust &adjust)
+                   const Address &store, const Adjust &adjust,
+                   const AdjustDiscovery &adjustDiscovery)
     : m_settings(servingSettings(domain, adjust))
     , m_serving(std::make_unique<ServingTask>(m_settings))
     , m_store(loop, store)
-    , m_discovery(loop, m_clock, m_store, platform::recordCodec(), discoverySettings(name),
+    , m_discovery(loop, m_clock, m_store, platform::recordCodec(),
+                  discoverySettings(name, domain, adjustDiscovery),
                   {[this](const RouteTablePtr &routes) {
                        m_version = routes->version();
                        m_serving->postRoutes(routes);
@@ -76,7 +81,7 @@
                    }})
 {
     Reason reason;
-    if (!m_serving->listen(reason)) {
+    if (!m_serving->listen(reason) || !m_discovery.listen(reason)) {
         throw std::runtime_error(reason.text);
     }
     m_serving->start();
@@ -123,9 +128,9 @@
 
 void TierWorld::startVm(std::size_t index)
 {
-    m_vms[index]
-        = std::make_unique<TierNode>(m_loop, "vm-" + std::to_string(index), Site::domainName(index),
-                                     Address {"127.0.0.1", store().port()}, m_settings.adjust);
+    m_vms[index] = std::make_unique<TierNode>(
+        m_loop, "vm-" + std::to_string(index), Site::domainName(index),
+        Address {"127.0.0.1", store().port()}, m_settings.adjust, m_settings.adjustDiscovery);
 }
 
 bool TierWorld::waitUntilKnown()
--- a/tests/support/TierWorld.h
+++ b/tests/support/TierWorld.h
@@ -2,7 +2,7 @@
 
 #include "Pimentoward/Connection/BackendConnection.h"
 #include "Pimentoward/Core/SystemClock.h"
-#include "Pimentoward/Process/Discovery.h"
+#include "Pimentoward/Discovery/Discovery.h"
 #include "Pimentoward/Process/ServingTask.h"
 #include "platform/StoreClient.h"
 #include "standins/Site.h"
@@ -18,9 +18,11 @@
 {
 public:
     using Adjust = std::function<void(pimentoward::ServingTaskSettings &)>;
+    using AdjustDiscovery = std::function<void(pimentoward::Discovery::Settings &)>;
 
     TierNode(event_base *loop, const std::string &name, const std::string &domain,
-             const pimentoward::Address &store, const Adjust &adjust);
+             const pimentoward::Address &store, const Adjust &adjust,
+             const AdjustDiscovery &adjustDiscovery);
     ~TierNode();
 
     pimentoward::Address address() const { return m_settings.callerListen; }
@@ -52,6 +54,7 @@
         pimentoward::standins::Site::Settings site;
         std::size_t vms = 1;
         TierNode::Adjust adjust = [](pimentoward::ServingTaskSettings &) {};
+        TierNode::AdjustDiscovery adjustDiscovery = [](pimentoward::Discovery::Settings &) {};
     };
 
     /// What became of a caller's request.
