VMs cut off from the store are asked last; knowledge that is too old asks the store

Change: one that failed or was behind is asked only after all that did not, for 15 s; a VM whose knowledge has not been fresh for 3.2 s asks the store itself, once in 5 s while that does not answer. Ruled out: longer pauses alone, which leave a VM without anybody to ask where all fail for a moment.

--- a/src/Pimentoward/Discovery/Discovery.cpp
+++ b/src/Pimentoward/Discovery/Discovery.cpp
@@ -186,7 +186,7 @@
 void Discovery::onStoreAnswered()
 {
     m_knownAt = m_clock.now();
-    m_chooser.onStore(true);
+    m_chooser.onStore(true, m_knownAt);
 }
 
 bool Discovery::takeFreshness(const Address &vm, const FeedFreshness &freshness, Revision revision)
@@ -240,7 +240,7 @@
                                                     << " reason=\"" << failure.text << '"');
     }
     m_isStoreLost = true;
-    m_chooser.onStore(false);
+    m_chooser.onStore(false, m_clock.now());
     m_mirror.onFailed(failure);
 }
 
--- a/src/Pimentoward/Discovery/FeedChooser.cpp
+++ b/src/Pimentoward/Discovery/FeedChooser.cpp
@@ -30,21 +30,50 @@
     m_silentSince.reset();
     Standing &standing = m_standings[vm.toString()];
     standing.age = age;
-    if (isStale(age)) {
-        standing.passedOverUntil = now + m_settings.failurePause;
+    if (!isStale(age)) {
+        m_freshAt = now;
+        standing.lastChoiceUntil = now;
+        return;
     }
+    standing.passedOverUntil = now + m_settings.failurePause;
+    standing.lastChoiceUntil = now + m_settings.failureMemory;
 }
 
 void FeedChooser::onFailed(const Address &vm, SteadyTime now)
 {
     m_silentSince = m_silentSince.value_or(now);
-    m_standings[vm.toString()] = {now + m_settings.failurePause, std::nullopt};
+    m_standings[vm.toString()]
+        = {now + m_settings.failurePause, now + m_settings.failureMemory, std::nullopt};
+}
+
+void FeedChooser::onStore(bool hasAnswered, SteadyTime now)
+{
+    m_isStoreSilent = !hasAnswered;
+    if (hasAnswered) {
+        m_freshAt = now;
+        m_silentSince.reset();
+    } else {
+        m_storeFailedAt = now;
+    }
 }
 
 void FeedChooser::onUnready(const Address &vm, SteadyTime now)
 {
     m_silentSince = m_silentSince.value_or(now);
-    m_standings[vm.toString()] = {now + m_settings.unreadyPause, std::nullopt};
+    m_standings[vm.toString()] = {now + m_settings.unreadyPause, now, std::nullopt};
+}
+
+bool FeedChooser::isLastChoice(const Address &vm, SteadyTime now) const
+{
+    const auto found = m_standings.find(vm.toString());
+    return found != m_standings.end() && now < found->second.lastChoiceUntil;
+}
+
+bool FeedChooser::isTooOld(SteadyTime now) const
+{
+    const bool isOld = m_freshAt && now - *m_freshAt > m_settings.staleLimit;
+    const bool mayAsk = !m_storeFailedAt || now - *m_storeFailedAt >= m_settings.storePause;
+    return isOld && mayAsk;
 }
 
 bool FeedChooser::isPassedOver(const Address &vm, SteadyTime now) const
@@ -116,10 +145,17 @@
     if (m_silentSince && now - *m_silentSince >= m_settings.silenceLimit) {
         return {std::nullopt, "no VM answers"};
     }
+    if (isTooOld(now)) {
+        return {std::nullopt, "no VM knows the present"};
+    }
     const std::vector<const Member *> ranked = ranking();
-    for (const Member *member : ranked) {
-        if (member->id != m_settings.self && !isPassedOver(member->address, now)) {
-            return {member->address, "first that answers"};
+    for (const bool allowsLastChoice : {false, true}) {
+        for (const Member *member : ranked) {
+            const bool isOther = member->id != m_settings.self;
+            const bool isAllowed = allowsLastChoice || !isLastChoice(member->address, now);
+            if (isOther && isAllowed && !isPassedOver(member->address, now)) {
+                return {member->address, "first that answers"};
+            }
         }
     }
     if (rank < m_settings.substitutes) {
--- a/src/Pimentoward/Discovery/FeedChooser.h
+++ b/src/Pimentoward/Discovery/FeedChooser.h
@@ -32,6 +32,12 @@
         Duration ageLimit = std::chrono::milliseconds(2300);
         /// How long a VM that failed or was behind is passed over.
         Duration failurePause = std::chrono::seconds(3);
+        /// How long it is asked only after all that did not.
+        Duration failureMemory = std::chrono::seconds(15);
+        /// After this time without fresh knowledge the store is asked.
+        Duration staleLimit = std::chrono::milliseconds(3200);
+        /// Not again so soon after the store did not answer.
+        Duration storePause = std::chrono::seconds(5);
         /// After this time without any VM's answer the store is asked.
         Duration silenceLimit = std::chrono::milliseconds(2500);
         /// VMs of a failure domain that ask the store where no other VM knows better.
@@ -68,7 +74,7 @@
     explicit FeedChooser(const Settings &settings);
 
     /// Whether the store answered this VM at last; where it did not, seeds are asked.
-    void onStore(bool hasAnswered) { m_isStoreSilent = !hasAnswered; }
+    void onStore(bool hasAnswered, SteadyTime now);
     void onPresent(const Member &member);
     void onVanished(const MemberId &member);
     /// The VM answered with knowledge of this age.
@@ -87,6 +93,7 @@
     struct Standing
     {
         SteadyTime passedOverUntil {};
+        SteadyTime lastChoiceUntil {};
         /// Set where it answered, though with old knowledge.
         std::optional<Duration> age;
     };
@@ -96,12 +103,17 @@
     std::vector<const Member *> ranking() const;
     std::size_t ownRank() const;
     bool isPassedOver(const Address &vm, SteadyTime now) const;
+    bool isLastChoice(const Address &vm, SteadyTime now) const;
+    bool isTooOld(SteadyTime now) const;
     Choice leastBehind(const std::vector<const Member *> &ranked) const;
 
     Settings m_settings;
     std::map<MemberId, Member> m_members;
     std::map<std::string, Standing> m_standings;
     bool m_isStoreSilent = false;
+    std::optional<SteadyTime> m_storeFailedAt;
+    /// When this VM's knowledge was fresh at last.
+    std::optional<SteadyTime> m_freshAt;
     /// Since when no VM that was asked has answered.
     std::optional<SteadyTime> m_silentSince;
 };
