Split Forwarder and the rule tests by job

Change: ForwardMessages makes messages, RequestReport logs and counts; TierStoreTest holds the store's cases.

--- a/cmake/TierSources.cmake
+++ b/cmake/TierSources.cmake
@@ -42,11 +42,13 @@
   Process/Timer.cpp
   Request/AnswerTiming.cpp
   Request/BackendChooser.cpp
+  Request/ForwardMessages.cpp
   Request/Forwarder.cpp
   Request/Gather.cpp
   Request/LatencyEstimate.cpp
   Request/RecordMerge.cpp
   Request/ReplyJudge.cpp
+  Request/RequestReport.cpp
   Request/RouteLatencies.cpp
   Request/SharedRetryBudget.cpp
   Request/WeightedTurns.cpp
--- a/src/Pimentoward/Request/Forwarder.cpp
+++ b/src/Pimentoward/Request/Forwarder.cpp
@@ -1,10 +1,8 @@
 #include "Pimentoward/Request/Forwarder.h"
 
-#include "Pimentoward/Core/Log.h"
 #include "Pimentoward/Request/ReplyJudge.h"
 
 #include <algorithm>
-#include <charconv>
 
 namespace pimentoward {
 
@@ -15,20 +13,11 @@
 constexpr int statusUnavailable = 503;
 /// Tells a caller of a VM that knows no settings yet when to come back.
 constexpr const char *unknownRetryAfterSeconds = "0.3";
+/// What a backend server is told at least, however little time is left.
+constexpr Duration shortestTimeLeft = std::chrono::milliseconds(1);
 /// How often replies that nobody waits for any more are looked through.
 constexpr std::chrono::milliseconds sweepPeriod {50};
 
-const log4cplus::Logger &requestLog()
-{
-    static const log4cplus::Logger log = Log::part("request");
-    return log;
-}
-
-std::int64_t milliseconds(Duration time)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
-}
-
 double ratioOf(Duration time, Duration usual)
 {
     const std::chrono::duration<double> part = time;
@@ -47,6 +36,8 @@
 Forwarder::Forwarder(event_base *loop, const ForwarderSettings &settings, Metrics &metrics)
     : m_loop(loop)
     , m_settings(settings)
+    , m_messages(settings.headers)
+    , m_report(metrics)
     , m_fleet(loop, settings.fleet, [this](BackendLink &link) { onRoom(link); })
     , m_chooser(settings.chooser)
     , m_timing(settings.timing)
@@ -58,7 +49,6 @@
           [this](const ServiceName &service, SteadyTime now) { return takeExtra(service, now); }}
     , m_roomTimer(loop, [this] { serveWaiting(); })
     , m_sweepTimer(loop, [this] { sweep(); })
-    , m_metrics(metrics)
 { }
 
 Forwarder::~Forwarder() = default;
@@ -126,14 +116,7 @@
 
 void Forwarder::refuse(CallerConnection &caller, const RequestId &id, int status, const char *why)
 {
-    LOG4CPLUS_INFO(requestLog(),
-                   "event=refused request=" << id << " status=" << status
-                                            << " settings=" << (m_routes ? m_routes->version() : 0)
-                                            << " reason=\"" << why << '"');
-    m_metrics
-        .counter("pimentoward_requests_refused_total", "Requests refused without being sent",
-                 {{"status", std::to_string(status)}})
-        .add();
+    m_report.onRefused(id, status, m_routes ? m_routes->version() : 0, why);
     HttpReplyMessage reply;
     reply.status = status;
     if (status == statusUnavailable) {
@@ -142,18 +125,6 @@
     caller.reply(std::move(reply));
 }
 
-Duration Forwarder::timeLeft(const Route &route, const HttpRequestMessage &request) const
-{
-    const std::string_view text = request.headers.value(m_settings.headers.timeLeft);
-    std::int64_t value = 0;
-    const auto result = std::from_chars(text.data(), text.data() + text.size(), value);
-    constexpr std::int64_t longest = 3'600'000;
-    if (text.empty() || result.ec != std::errc() || value < 0) {
-        return route.timeout;
-    }
-    return std::chrono::milliseconds(std::min(value, longest));
-}
-
 GatherPlan Forwarder::planFor(const Route &route, const CallerConnection::Arrival &arrival)
 {
     GatherPlan plan;
@@ -167,9 +138,9 @@
     plan.maxAttempts = route.maxAttempts;
     plan.leastCoverage = route.leastCoverage;
     plan.topRecords = route.topRecords;
-    const AnswerTiming::Moments moments
-        = m_timing.moments({arrival.readAt, timeLeft(route, arrival.request), route.timeout,
-                            route.latencyObjective, arrival.isFirst});
+    const AnswerTiming::Moments moments = m_timing.moments(
+        {arrival.readAt, m_messages.timeLeft(arrival.request).value_or(route.timeout),
+         route.timeout, route.latencyObjective, arrival.isFirst});
     plan.answerBy = moments.answerBy;
     plan.deadline = moments.deadline;
     plan.refuseBy = arrival.readAt
@@ -200,7 +171,7 @@
     request.route = &route;
     request.id = id;
     request.method = arrival.request.method;
-    request.head = headFor(arrival.request);
+    request.head = m_messages.head(arrival.request);
     request.body = std::move(arrival.request.body);
     request.readAt = arrival.readAt;
     request.deadline = deadline;
@@ -210,34 +181,6 @@
     carryOut(request, request.gather.start(now));
 }
 
-std::string Forwarder::headFor(const HttpRequestMessage &request) const
-{
-    HttpRequestMessage forwarded;
-    forwarded.method = request.method;
-    forwarded.target = request.target;
-    forwarded.headers = request.headers;
-    forwarded.headers.removeHopByHop();
-    for (const std::string_view name :
-         {std::string_view(m_settings.headers.timeLeft),
-          std::string_view(m_settings.headers.expectedBackend), std::string_view("Expect")}) {
-        forwarded.headers.remove(name);
-    }
-    return serializeHead(forwarded);
-}
-
-std::string Forwarder::bytesFor(const ActiveRequest &request, const BackendServerId &to,
-                                SteadyTime now) const
-{
-    const Duration left = std::max(request.deadline - now, Duration(std::chrono::milliseconds(1)));
-    std::string bytes = request.head;
-    bytes += m_settings.headers.timeLeft + ": " + std::to_string(milliseconds(left)) + "\r\n";
-    if (m_settings.checks.expectedBackend) {
-        bytes += m_settings.headers.expectedBackend + ": " + to + "\r\n";
-    }
-    appendBody(bytes, request.method, request.body);
-    return bytes;
-}
-
 void Forwarder::carryOut(ActiveRequest &request, GatherActions actions)
 {
     for (GatherAction &action : actions) {
@@ -268,7 +211,9 @@
     m_exchanges.push_back(std::move(exchange));
     const auto position = std::prev(m_exchanges.end());
     BackendConnection::Exchange message;
-    message.bytes = bytesFor(request, send.to, now);
+    const Duration left = std::max(request.deadline - now, shortestTimeLeft);
+    const BackendServerId named = m_settings.checks.expectedBackend ? send.to : BackendServerId();
+    message.bytes = m_messages.request(request.head, request.method, request.body, named, left);
     message.method = request.method;
     message.requestId = request.id;
     if (m_settings.checks.replyIdentity) {
@@ -308,61 +253,14 @@
 
 void Forwarder::finish(ActiveRequest &request, GatherOutcome outcome)
 {
-    const SteadyTime now = std::chrono::steady_clock::now();
-    log(request, outcome, now);
-    m_metrics
-        .counter("pimentoward_requests_total", "Requests answered",
-                 {{"route", request.route->name},
-                  {"code", std::to_string(static_cast<int>(outcome.reason.code))}})
-        .add();
-    m_metrics
-        .distribution("pimentoward_request_seconds", "Time from reading a request to its answer",
-                      {{"route", request.route->name}})
-        .record(now - request.readAt);
-    HttpReplyMessage reply = replyFor(request, outcome);
+    m_report.onAnswered(request, outcome, std::chrono::steady_clock::now());
+    HttpReplyMessage reply = m_messages.reply(outcome, request.id);
     CallerConnection &caller = *request.caller;
     detachExchanges(request, m_settings.lateReplyTime);
     remove(request);
     caller.reply(std::move(reply));
 }
 
-HttpReplyMessage Forwarder::replyFor(const ActiveRequest &request, GatherOutcome &outcome) const
-{
-    HttpReplyMessage reply = std::move(outcome.reply);
-    reply.headers.removeHopByHop();
-    if (!outcome.signatures.empty()) {
-        std::string joined;
-        for (const std::string &signature : outcome.signatures) {
-            joined += joined.empty() ? "" : ", ";
-            joined += signature;
-        }
-        reply.headers.add(m_settings.headers.partSignatures, joined);
-        reply.headers.add(m_settings.headers.missingParts, std::to_string(outcome.missing));
-    }
-    if (!reply.headers.has(m_settings.headers.requestId)) {
-        reply.headers.add(m_settings.headers.requestId, request.id);
-    }
-    return reply;
-}
-
-void Forwarder::log(const ActiveRequest &request, const GatherOutcome &outcome,
-                    SteadyTime now) const
-{
-    LOG4CPLUS_INFO(requestLog(),
-                   "event=answered request="
-                       << request.id << " route=" << request.route->name << " settings="
-                       << request.routes->version() << " status=" << outcome.reply.status
-                       << " code=" << static_cast<int>(outcome.reason.code)
-                       << " ms=" << milliseconds(now - request.readAt)
-                       << " left_ms=" << milliseconds(request.deadline - now)
-                       << " parts=" << outcome.parts << " missing=" << outcome.missing
-                       << " missing_services=" << outcome.missingServices
-                       << " sends=" << outcome.sends << " hedges=" << outcome.hedges << " retries="
-                       << outcome.retries << " hedge_after_ms=" << milliseconds(request.hedgeDelay)
-                       << " reason=\"" << outcome.reason.text << "\" last_failure=\""
-                       << outcome.lastFailure << '"');
-}
-
 void Forwarder::detachExchanges(ActiveRequest &request, Duration keepFor)
 {
     const SteadyTime giveUpAt = std::chrono::steady_clock::now() + keepFor;
@@ -396,12 +294,7 @@
         return;
     }
     ActiveRequest &request = *found->second;
-    const Duration age = std::chrono::steady_clock::now() - request.readAt;
-    LOG4CPLUS_INFO(requestLog(),
-                   "event=caller-gone request=" << request.id << " route=" << request.route->name
-                                                << " ms=" << milliseconds(age));
-    m_metrics.counter("pimentoward_callers_gone_total", "Callers that left before the answer")
-        .add();
+    m_report.onCallerGone(request, std::chrono::steady_clock::now());
     detachExchanges(
         request, m_settings.checks.callerGone ? m_settings.callerGoneTime : std::chrono::hours(1));
     remove(request);
--- a/src/Pimentoward/Request/Forwarder.h
+++ b/src/Pimentoward/Request/Forwarder.h
@@ -3,10 +3,11 @@
 #include "Pimentoward/Connection/BackendFleet.h"
 #include "Pimentoward/Connection/CallerConnection.h"
 #include "Pimentoward/Connection/ForwardHeaders.h"
-#include "Pimentoward/Process/Metrics.h"
 #include "Pimentoward/Request/ActiveRequest.h"
 #include "Pimentoward/Request/AnswerTiming.h"
 #include "Pimentoward/Request/BackendChooser.h"
+#include "Pimentoward/Request/ForwardMessages.h"
+#include "Pimentoward/Request/RequestReport.h"
 #include "Pimentoward/Request/RouteLatencies.h"
 #include "Pimentoward/Request/SharedRetryBudget.h"
 #include "Pimentoward/Request/WeightedTurns.h"
@@ -102,17 +103,11 @@
     void begin(CallerConnection &caller, CallerConnection::Arrival arrival, const Route &route,
                const RequestId &id);
     GatherPlan planFor(const Route &route, const CallerConnection::Arrival &arrival);
-    Duration timeLeft(const Route &route, const HttpRequestMessage &request) const;
-    std::string headFor(const HttpRequestMessage &request) const;
     void carryOut(ActiveRequest &request, GatherActions actions);
     void send(ActiveRequest &request, const GatherSend &send);
-    std::string bytesFor(const ActiveRequest &request, const BackendServerId &to,
-                         SteadyTime now) const;
     void onExchangeEnded(Exchanges::iterator exchange, ExchangeEnd end, HttpReplyMessage reply);
     void learn(const Exchange &exchange, const JudgedReply &reply, SteadyTime now);
     void finish(ActiveRequest &request, GatherOutcome outcome);
-    HttpReplyMessage replyFor(const ActiveRequest &request, GatherOutcome &outcome) const;
-    void log(const ActiveRequest &request, const GatherOutcome &outcome, SteadyTime now) const;
     void detachExchanges(ActiveRequest &request, Duration keepFor);
     void remove(ActiveRequest &request);
     void noteWaiting(ActiveRequest &request);
@@ -133,6 +128,8 @@
 
     event_base *m_loop;
     ForwarderSettings m_settings;
+    ForwardMessages m_messages;
+    RequestReport m_report;
     RouteTablePtr m_routes;
     BackendListPtr m_backends;
     std::size_t m_members = 1;
@@ -151,7 +148,6 @@
     Timer m_sweepTimer;
     /// Requests that have ended; destroyed from the loop, since their own timer may be running.
     std::vector<std::unique_ptr<ActiveRequest>> m_ended;
-    Metrics &m_metrics;
 };
 
 } // namespace pimentoward
--- /dev/null
+++ b/src/Pimentoward/Request/RequestReport.cpp
@@ -0,0 +1,72 @@
+#include "Pimentoward/Request/RequestReport.h"
+
+#include "Pimentoward/Core/Log.h"
+
+namespace pimentoward {
+
+namespace {
+
+const log4cplus::Logger &requestLog()
+{
+    static const log4cplus::Logger log = Log::part("request");
+    return log;
+}
+
+std::int64_t milliseconds(Duration time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
+} // namespace
+
+RequestReport::RequestReport(Metrics &metrics)
+    : m_metrics(metrics)
+{ }
+
+void RequestReport::onAnswered(const ActiveRequest &request, const GatherOutcome &outcome,
+                               SteadyTime now)
+{
+    const int code = static_cast<int>(outcome.reason.code);
+    LOG4CPLUS_INFO(requestLog(),
+                   "event=answered request="
+                       << request.id << " route=" << request.route->name << " settings="
+                       << request.routes->version() << " status=" << outcome.reply.status
+                       << " code=" << code << " ms=" << milliseconds(now - request.readAt)
+                       << " left_ms=" << milliseconds(request.deadline - now)
+                       << " parts=" << outcome.parts << " missing=" << outcome.missing
+                       << " missing_services=" << outcome.missingServices
+                       << " sends=" << outcome.sends << " hedges=" << outcome.hedges << " retries="
+                       << outcome.retries << " hedge_after_ms=" << milliseconds(request.hedgeDelay)
+                       << " reason=\"" << outcome.reason.text << "\" last_failure=\""
+                       << outcome.lastFailure << '"');
+    m_metrics
+        .counter("pimentoward_requests_total", "Requests answered",
+                 {{"route", request.route->name}, {"code", std::to_string(code)}})
+        .add();
+    m_metrics
+        .distribution("pimentoward_request_seconds", "Time from reading a request to its answer",
+                      {{"route", request.route->name}})
+        .record(now - request.readAt);
+}
+
+void RequestReport::onRefused(const RequestId &id, int status, Revision settings, const char *why)
+{
+    LOG4CPLUS_INFO(requestLog(),
+                   "event=refused request=" << id << " status=" << status << " settings="
+                                            << settings << " reason=\"" << why << '"');
+    m_metrics
+        .counter("pimentoward_requests_refused_total", "Requests refused without being sent",
+                 {{"status", std::to_string(status)}})
+        .add();
+}
+
+void RequestReport::onCallerGone(const ActiveRequest &request, SteadyTime now)
+{
+    LOG4CPLUS_INFO(requestLog(),
+                   "event=caller-gone request=" << request.id << " route=" << request.route->name
+                                                << " ms=" << milliseconds(now - request.readAt));
+    m_metrics.counter("pimentoward_callers_gone_total", "Callers that left before the answer")
+        .add();
+}
+
+} // namespace pimentoward
--- /dev/null
+++ b/tests/Process/TierStoreTest.cpp
@@ -0,0 +1,156 @@
+#include "platform/WireNames.h"
+#include "tests/support/TierWorld.h"
+
+#include <catch2/catch.hpp>
+
+using namespace pimentoward;
+using namespace pimentoward::standins;
+using namespace std::chrono_literals;
+
+// What holds while the store changes, fails, or tells nonsense, and while VMs come and go.
+
+namespace {
+
+TierWorld::Request request(const std::string &path, std::size_t vm = 0)
+{
+    TierWorld::Request request;
+    request.path = path;
+    request.vm = vm;
+    return request;
+}
+
+} // namespace
+
+TEST_CASE("CONFIG: a new version is in force everywhere at once and never goes back", "[rules]")
+{
+    TierWorld::Settings settings;
+    settings.vms = 2;
+    TierWorld world(settings);
+    REQUIRE(world.waitUntilKnown());
+    CHECK(world.ask(request("/added/x")).status == 404);
+    const auto addRoute = [](nlohmann::json &document) {
+        nlohmann::json route = document["routes"][1];
+        route["pathPrefix"] = "/added/";
+        route["name"] = "added";
+        document["routes"].push_back(route);
+    };
+    world.site().writeSettings(addRoute);
+    world.run(400ms);
+    for (std::size_t vm = 0; vm < 2; ++vm) {
+        CHECK(world.ask(request("/added/x", vm)).status == 200);
+    }
+    // An older document, and one that is no settings at all, change nothing.
+    world.site().writeSettings([](nlohmann::json &document) { document["version"] = 1; });
+    world.run(400ms);
+    world.store().put(platform::wire::settingsKey, "{\"version\":");
+    world.run(400ms);
+    for (std::size_t vm = 0; vm < 2; ++vm) {
+        CHECK(world.vm(vm).settingsVersion() == 2);
+        CHECK(world.ask(request("/added/x", vm)).status == 200);
+    }
+}
+
+TEST_CASE("RECOVER: VMs that all start anew serve as soon as the store answers", "[rules]")
+{
+    TierWorld::Settings settings;
+    settings.vms = 2;
+    TierWorld world(settings);
+    REQUIRE(world.waitUntilKnown());
+    world.stopVm(0);
+    world.stopVm(1);
+    world.store().changeMode(KeyValueServer::Mode::Down);
+    world.startVm(0);
+    world.startVm(1);
+    world.run(300ms);
+    // Nothing is known yet: not run, and no 404 for what may well have a route.
+    CHECK(world.ask(request("/one/x")).status == 503);
+    world.store().changeMode(KeyValueServer::Mode::Up);
+    REQUIRE(world.waitUntilKnown());
+    CHECK(world.ask(request("/one/x")).status == 200);
+    CHECK(world.ask(request("/all/x", 1)).status == 200);
+}
+
+TEST_CASE("A VM serves on what it knows through every trouble of the store", "[rules]")
+{
+    using Mode = KeyValueServer::Mode;
+    const Mode mode
+        = GENERATE(Mode::Down, Mode::Busy, Mode::Silent, Mode::LoseAnswers, Mode::Garbled);
+    TierWorld world({});
+    REQUIRE(world.waitUntilKnown());
+    world.store().changeMode(mode);
+    world.run(700ms);
+    CHECK(world.ask(request("/all/x")).status == 200);
+    world.store().changeMode(Mode::Up);
+    world.site().writeSettings();
+    world.store().dropHistory();
+    world.run(2500ms);
+    CHECK(world.vm(0).settingsVersion() == 2);
+}
+
+TEST_CASE("Records of other writers name no backend server and break nothing", "[rules]")
+{
+    TierWorld world({});
+    REQUIRE(world.waitUntilKnown());
+    const std::string prefix = platform::wire::backendPrefix;
+    for (const char *text :
+         {"", "no json", "[]", "{}", "{\"service\":7}", "\xff\xfe",
+          "{\"service\":\"single\",\"address\":\"nowhere\",\"zone\":\"a\",\"state\":\"ready\","
+          "\"maxConcurrency\":2}",
+          "{\"service\":\"single\",\"address\":\"127.0.0.1:9\",\"zone\":\"a\",\"state\":\"lost\","
+          "\"maxConcurrency\":2}"}) {
+        world.store().put(prefix + "broken", text);
+        world.run(30ms);
+    }
+    world.run(300ms);
+    CHECK(world.vm(0).backends() == 13);
+    CHECK(world.ask(request("/one/x")).status == 200);
+}
+
+TEST_CASE("VMs that learn from others follow changes, also when the one that they ask is gone",
+          "[rules]")
+{
+    TierWorld::Settings settings;
+    settings.vms = 6;
+    settings.adjustDiscovery = [](Discovery::Settings &discovery) {
+        discovery.feed.mostDirect = 2;
+        discovery.feed.ageLimit = 900ms;
+        discovery.feed.failurePause = 1s;
+        discovery.relayedWatchTime = 400ms;
+    };
+    TierWorld world(settings);
+    REQUIRE(world.waitUntilKnown());
+    world.run(1s);
+    const std::uint64_t before = world.store().calls().at("/-/kv-watch");
+    world.run(2s);
+    const std::uint64_t watches = world.store().calls().at("/-/kv-watch") - before;
+    // Three VMs ask the store each 400 ms; six would make twice as many calls.
+    CHECK(watches <= 3 * 2000 / 400 + 3);
+    CHECK(watches >= 3);
+    // Each VM but the last two goes, the ones that ask the store among them.
+    for (std::size_t gone = 0; gone < 4; ++gone) {
+        world.stopVm(gone);
+        world.site().writeSettings();
+        world.run(2s);
+        for (std::size_t vm = gone + 1; vm < settings.vms; ++vm) {
+            CHECK(world.vm(vm).settingsVersion() == gone + 2);
+        }
+    }
+}
+
+TEST_CASE("A VM that starts while the store is away learns from the others and serves", "[rules]")
+{
+    std::vector<Address> seeds;
+    TierWorld::Settings settings;
+    settings.vms = 2;
+    settings.adjustDiscovery = [&seeds](Discovery::Settings &discovery) {
+        discovery.feed.seeds = seeds;
+        seeds.push_back(discovery.feed.address);
+    };
+    TierWorld world(settings);
+    REQUIRE(world.waitUntilKnown());
+    world.store().changeMode(KeyValueServer::Mode::Down);
+    world.stopVm(1);
+    world.startVm(1);
+    world.run(1500ms);
+    CHECK(world.ask(request("/all/x", 1)).status == 200);
+}
