A fault soak on real processes of the tier; checker shared with the rule tests; options of pimento-tier

A new process no longer meets its parent's signal handlers (the false failure that ProcessGroupTest printed).

--- a/standins/ProcessGroup.cpp
+++ b/standins/ProcessGroup.cpp
@@ -26,6 +26,11 @@
     constexpr int failedToStart = 127;
     constexpr mode_t logMode = 0644;
     prctl(PR_SET_PDEATHSIG, SIGKILL);
+    std::signal(SIGTERM, SIG_DFL);
+    std::signal(SIGINT, SIG_DFL);
+    sigset_t none;
+    sigemptyset(&none);
+    sigprocmask(SIG_SETMASK, &none, nullptr);
     const int file = open(log, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, logMode);
     dup2(file, STDERR_FILENO);
     dup2(file, STDOUT_FILENO);
@@ -60,7 +65,15 @@
         arguments.push_back(argument.data());
     }
     arguments.push_back(nullptr);
+    // A signal must not meet this program's own handlers in the new process before they are reset.
+    sigset_t all;
+    sigset_t before;
+    sigfillset(&all);
+    sigprocmask(SIG_SETMASK, &all, &before);
     const pid_t pid = fork();
+    if (pid != 0) {
+        sigprocmask(SIG_SETMASK, &before, nullptr);
+    }
     if (pid < 0) {
         throw std::runtime_error("cannot start '" + command.front() + "'");
     }
--- /dev/null
+++ b/standins/SiteCaller.cpp
@@ -0,0 +1,62 @@
+#include "standins/SiteCaller.h"
+
+#include "platform/WireNames.h"
+
+#include <algorithm>
+
+namespace pimentoward::standins {
+
+SiteCaller::SiteCaller(event_base *loop, std::string host, std::string prefix)
+    : m_loop(loop)
+    , m_host(std::move(host))
+    , m_prefix(std::move(prefix))
+{ }
+
+SiteCaller::~SiteCaller() = default;
+
+SiteCaller::Outcome &SiteCaller::send(const Address &vm, const Request &request)
+{
+    m_outcomes.emplace_back();
+    Outcome &outcome = m_outcomes.back();
+    outcome.requestId = m_prefix + std::to_string(m_outcomes.size());
+    outcome.request = request;
+    const ForwardHeaders names = platform::wire::forwardHeaders();
+    HttpRequestMessage message;
+    message.method = request.method;
+    message.target = request.path;
+    message.body = request.body;
+    message.headers.add("Host", m_host);
+    message.headers.add(names.requestId, outcome.requestId);
+    message.headers.add(names.timeLeft, std::to_string(request.timeLeft.count()));
+    m_running.emplace_back();
+    Running &running = m_running.back();
+    running.sentAt = std::chrono::steady_clock::now();
+    running.connection
+        = std::make_unique<BackendConnection>(m_loop, vm, [](BackendConnection &) {});
+    const BackendConnection::Exchange exchange {serialize(message), request.method,
+                                                outcome.requestId, names.requestId};
+    running.connection->send(
+        exchange, [&outcome, sentAt = running.sentAt](ExchangeEnd end, HttpReplyMessage reply) {
+            outcome.isEnded = true;
+            outcome.status = end == ExchangeEnd::Replied ? reply.status : 0;
+            outcome.reply = std::move(reply);
+            outcome.took = std::chrono::duration_cast<std::chrono::milliseconds>(
+                std::chrono::steady_clock::now() - sentAt);
+        });
+    if (request.leaveAfter.count() > 0) {
+        running.leave = std::make_unique<Timer>(m_loop, [&running, &outcome] {
+            running.connection.reset();
+            outcome.isEnded = true;
+        });
+        running.leave->startOnce(request.leaveAfter);
+    }
+    return outcome;
+}
+
+bool SiteCaller::haveAllEnded() const
+{
+    return std::all_of(m_outcomes.begin(), m_outcomes.end(),
+                       [](const Outcome &outcome) { return outcome.isEnded; });
+}
+
+} // namespace pimentoward::standins
--- /dev/null
+++ b/standins/Soak.cpp
@@ -0,0 +1,388 @@
+#include "standins/Soak.h"
+
+#include "standins/SiteChecker.h"
+
+#include <event2/event.h>
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+namespace pimentoward::standins {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr double leastCoverage = 0.6;
+constexpr int statusOk = 200;
+/// Time after the last fault until every VM has to serve again.
+constexpr std::chrono::seconds recoveryLimit {8};
+constexpr std::chrono::seconds stopLimit {8};
+constexpr std::chrono::milliseconds loadPeriod {8};
+constexpr std::chrono::milliseconds tickPeriod {4};
+/// The relay between the VMs and the store.
+constexpr const char *storeLink = "store";
+
+} // namespace
+
+Soak::Soak(event_base *loop, const Settings &settings)
+    : m_loop(loop)
+    , m_settings(settings)
+    , m_random(settings.seed)
+    , m_site(loop,
+             [&] {
+                 Site::Settings site;
+                 site.store = {settings.host + "250", 7100};
+                 site.shards = settings.shards;
+                 return site;
+             }())
+    , m_relay(loop, RelayLinkSettings {1ms, 2ms, 0, 200ms}, settings.seed)
+    , m_caller(loop, Site::Settings().host, "s" + std::to_string(settings.seed) + "-")
+    , m_processes(settings.logFolder)
+{ }
+
+Soak::~Soak()
+{
+    // The promises are judged; a planned stop of each would only take time.
+    for (const Vm &vm : m_vms) {
+        m_processes.signal(vm.name, SIGKILL);
+    }
+}
+
+unsigned Soak::draw(unsigned below)
+{
+    return m_random() % below;
+}
+
+void Soak::note(const std::string &fault)
+{
+    const auto time = std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::steady_clock::now() - m_started);
+    m_report.faults.push_back(std::to_string(time.count()) + " ms " + fault);
+}
+
+std::string Soak::settingsOf(std::size_t index) const
+{
+    const std::string ip = m_settings.host + std::to_string(index + 1);
+    std::ostringstream text;
+    text << "nodeName = \"vm-" << index << "\"\nip = \"" << ip << "\"\nzone = \""
+         << Site::domainName(index) << "\"\ninternalPorts = [7380, 7395]\nseeds = [\""
+         << m_settings.host << "1:8106\"]\n[listen]\nfrontend = \"" << ip << ":8080\"\nready = \""
+         << ip << ":8081\"\ncontrol = \"" << ip
+         << ":8106\"\n[bounds]\nretryRatio = 0.2\nretryWindowS = 10\nretrySlack = 60\n"
+         << "graceS = 4\n[platform]\naddress = \"" << m_settings.host << "251:7100\"\n";
+    return text.str();
+}
+
+void Soak::startVm(Vm &vm)
+{
+    const std::string path = m_settings.logFolder + "/" + vm.name + ".toml";
+    m_processes.start(vm.name, {m_settings.programs + "/pimento-tier", "--settings", path});
+    vm.state = VmState::Running;
+    ++vm.starts;
+}
+
+Soak::Report Soak::run()
+{
+    Reason reason;
+    const Relay::Pair link {
+        storeLink, {m_settings.host + "251", 7100}, {m_settings.host + "250", 7100}};
+    if (!m_site.start(reason) || !m_relay.listen(link, reason)) {
+        m_report.violations.push_back("cannot start: " + reason.text);
+        return m_report;
+    }
+    for (std::size_t index = 0; index < m_settings.vms; ++index) {
+        const std::string ip = m_settings.host + std::to_string(index + 1);
+        m_vms.push_back({"vm-" + std::to_string(index), {ip, 8080}});
+        std::ofstream(m_settings.logFolder + "/" + m_vms.back().name + ".toml")
+            << settingsOf(index);
+        startVm(m_vms.back());
+    }
+    m_started = std::chrono::steady_clock::now();
+    checkRecovery();
+    SteadyTime nextFault = std::chrono::steady_clock::now();
+    runFor(m_settings.troubled, [&] {
+        if (const SteadyTime now = std::chrono::steady_clock::now(); now >= nextFault) {
+            beginFault();
+            nextFault = now + std::chrono::milliseconds(150 + draw(700));
+        }
+    });
+    undoDue(true);
+    note("calm");
+    checkRecovery();
+    checkDraining();
+    runFor(1500ms, [] {});
+    const std::vector<std::string> found
+        = SiteChecker(m_settings.shards, leastCoverage)
+              .violations(m_caller.outcomes(), m_site.allServers());
+    m_report.violations.insert(m_report.violations.end(), found.begin(), found.end());
+    for (const SiteCaller::Outcome &outcome : m_caller.outcomes()) {
+        m_report.served += outcome.status == statusOk ? 1 : 0;
+    }
+    m_report.requests = m_caller.outcomes().size();
+    return m_report;
+}
+
+void Soak::runFor(std::chrono::milliseconds time, const std::function<void()> &step)
+{
+    const SteadyTime end = std::chrono::steady_clock::now() + time;
+    SteadyTime nextLoad = std::chrono::steady_clock::now();
+    constexpr timeval tick {0, std::chrono::microseconds(tickPeriod).count()};
+    while (std::chrono::steady_clock::now() < end) {
+        event_base_loopexit(m_loop, &tick);
+        event_base_dispatch(m_loop);
+        if (std::chrono::steady_clock::now() >= nextLoad) {
+            nextLoad += loadPeriod;
+            sendNext();
+        }
+        undoDue(false);
+        reapVms();
+        step();
+    }
+}
+
+void Soak::sendNext()
+{
+    static constexpr const char *paths[] = {"/all/x", "/all/y?z=1", "/one/x", "/once/x"};
+    SiteCaller::Request request;
+    request.path = paths[draw(std::size(paths))];
+    if (request.path == "/once/x") {
+        request.method = "POST";
+        request.body = std::string(1 + draw(3000), 'b');
+    }
+    request.timeLeft = 300ms + std::chrono::milliseconds(draw(700));
+    if (draw(12) == 0) {
+        request.leaveAfter = std::chrono::milliseconds(1 + draw(60));
+    }
+    m_caller.send(m_vms[draw(static_cast<unsigned>(m_vms.size()))].callers, request);
+}
+
+void Soak::beginFault()
+{
+    switch (draw(4)) {
+    case 0:
+        harmVm();
+        break;
+    case 1:
+        harmStore();
+        break;
+    case 2:
+        harmServers();
+        break;
+    default:
+        changeSettings();
+    }
+}
+
+void Soak::undoLater(std::function<void()> action)
+{
+    const auto time = std::chrono::milliseconds(200 + draw(2200));
+    m_undos.push_back({std::chrono::steady_clock::now() + time, std::move(action)});
+}
+
+void Soak::undoDue(bool undoAll)
+{
+    const SteadyTime now = std::chrono::steady_clock::now();
+    std::vector<Undo> due;
+    for (std::size_t index = 0; index < m_undos.size();) {
+        if (!undoAll && now < m_undos[index].at) {
+            ++index;
+            continue;
+        }
+        due.push_back(std::move(m_undos[index]));
+        m_undos.erase(m_undos.begin() + static_cast<std::ptrdiff_t>(index));
+    }
+    for (const Undo &undo : due) {
+        undo.action();
+    }
+}
+
+void Soak::harmVm()
+{
+    const std::size_t index = draw(static_cast<unsigned>(m_vms.size()));
+    Vm &vm = m_vms[index];
+    if (vm.state != VmState::Running) {
+        return;
+    }
+    switch (draw(4)) {
+    case 0:
+        note(vm.name + " is paused");
+        m_processes.signal(vm.name, SIGSTOP);
+        vm.state = VmState::Paused;
+        undoLater([this, index] {
+            m_processes.signal(m_vms[index].name, SIGCONT);
+            m_vms[index].state = VmState::Running;
+        });
+        break;
+    case 1:
+        note(vm.name + " is killed");
+        m_processes.signal(vm.name, SIGKILL);
+        vm.state = VmState::Stopping;
+        break;
+    case 2:
+        note(vm.name + " is told to read its settings again");
+        m_processes.signal(vm.name, SIGHUP);
+        break;
+    default:
+        note(vm.name + " is stopped");
+        m_processes.signal(vm.name, SIGTERM);
+        vm.state = VmState::Stopping;
+    }
+}
+
+void Soak::reapVms()
+{
+    for (Vm &vm : m_vms) {
+        if (vm.state == VmState::Stopping && !m_processes.isRunning(vm.name)) {
+            m_processes.wait(vm.name, stopLimit);
+            startVm(vm);
+        }
+    }
+    if (const auto name = m_processes.endedByItself()) {
+        for (Vm &vm : m_vms) {
+            if (vm.name == *name && vm.state == VmState::Running) {
+                m_report.violations.push_back("EXIT " + vm.name + " ended by itself");
+                m_processes.wait(vm.name, stopLimit);
+                startVm(vm);
+            }
+        }
+    }
+}
+
+void Soak::harmStore()
+{
+    using Mode = KeyValueServer::Mode;
+    static constexpr Mode modes[]
+        = {Mode::Down, Mode::Busy, Mode::Silent, Mode::LoseAnswers, Mode::Garbled};
+    static constexpr RelayMode links[]
+        = {RelayMode::Cut, RelayMode::CutToTarget, RelayMode::CutToCaller, RelayMode::Frozen};
+    switch (draw(4)) {
+    case 0: {
+        const Mode mode = modes[draw(std::size(modes))];
+        note("store mode " + std::to_string(static_cast<int>(mode)));
+        m_site.store().changeMode(mode);
+        undoLater([this] { m_site.store().changeMode(Mode::Up); });
+        break;
+    }
+    case 1: {
+        const RelayMode mode = links[draw(std::size(links))];
+        note("link to the store, mode " + std::to_string(static_cast<int>(mode)));
+        m_relay.changeMode(storeLink, mode);
+        undoLater([this] { m_relay.changeMode(storeLink, RelayMode::Up); });
+        break;
+    }
+    case 2:
+        note("store is slow");
+        m_site.store().changeDelay(300ms);
+        undoLater([this] { m_site.store().changeDelay(0ms); });
+        break;
+    default:
+        note("store forgets its history");
+        m_site.store().dropHistory();
+    }
+}
+
+void Soak::harmServers()
+{
+    using Fault = ShardServer::Fault;
+    static constexpr Fault faults[]
+        = {Fault::CutReply, Fault::Garbage,   Fault::ExtraReply, Fault::StrayReply,
+           Fault::NoLength, Fault::LostReply, Fault::Failure,    Fault::Unsigned,
+           Fault::Encoded,  Fault::Shed,      Fault::Mute};
+    const auto servers = m_site.allServers();
+    ShardServer *server = servers[draw(static_cast<unsigned>(servers.size()))];
+    const std::string id = server->settings().id;
+    switch (draw(4)) {
+    case 0: {
+        const Fault fault = faults[draw(std::size(faults))];
+        note(id + " fault " + std::to_string(static_cast<int>(fault)));
+        server->changeFault([this, fault](const HttpRequestMessage &) {
+            return draw(3) == 0 ? fault : Fault::None;
+        });
+        undoLater([server] {
+            server->changeFault([](const HttpRequestMessage &) { return Fault::None; });
+        });
+        break;
+    }
+    case 1:
+        note(id + " pauses");
+        server->pause(250ms);
+        break;
+    case 2:
+        note(id + " is slow");
+        server->changeWorkTime(60ms);
+        undoLater([server] { server->changeWorkTime(5ms); });
+        break;
+    default:
+        if (server->settings().service == Site::singleService && m_draining.empty()) {
+            note(id + " is leaving");
+            m_site.registerServer(*server, "a", "draining");
+            m_draining.push_back(server);
+        }
+    }
+}
+
+void Soak::changeSettings()
+{
+    if (draw(3) == 0) {
+        const std::string domain = Site::domainName(draw(2));
+        note("failure domain " + domain + " is out of service");
+        m_site.store().put("op/evacuate/" + domain, "{}");
+        undoLater([this, domain] { m_site.store().remove("op/evacuate/" + domain); });
+        return;
+    }
+    note("settings change");
+    m_site.writeSettings();
+    if (draw(4) == 0) {
+        m_site.writeSettings();
+    }
+}
+
+bool Soak::isServing(const Vm &vm, const char *path)
+{
+    SiteCaller::Request request;
+    request.path = path;
+    const SiteCaller::Outcome &outcome = m_caller.send(vm.callers, request);
+    const SteadyTime end = std::chrono::steady_clock::now() + request.timeLeft + 200ms;
+    while (!outcome.isEnded && std::chrono::steady_clock::now() < end) {
+        runFor(tickPeriod, [] {});
+    }
+    return outcome.status == statusOk;
+}
+
+void Soak::checkRecovery()
+{
+    const SteadyTime end = std::chrono::steady_clock::now() + recoveryLimit;
+    for (Vm &vm : m_vms) {
+        for (const char *path : {"/all/x", "/one/x", "/once/x"}) {
+            bool isDone = false;
+            while (!isDone && std::chrono::steady_clock::now() < end) {
+                isDone = vm.state == VmState::Running && isServing(vm, path);
+                runFor(50ms, [] {});
+            }
+            if (!isDone) {
+                m_report.violations.push_back("RECOVER " + vm.name + " does not serve " + path);
+            }
+        }
+    }
+}
+
+void Soak::checkDraining()
+{
+    std::vector<std::uint64_t> before;
+    before.reserve(m_draining.size());
+    for (const ShardServer *server : m_draining) {
+        before.push_back(server->arrivals());
+    }
+    runFor(1000ms, [] {});
+    for (std::size_t index = 0; index < m_draining.size(); ++index) {
+        if (m_draining[index]->arrivals() != before[index]) {
+            m_report.violations.push_back("DRAIN " + m_draining[index]->settings().id
+                                          + " still gets requests");
+        }
+    }
+}
+
+} // namespace pimentoward::standins
--- a/tests/Process/TierRulesTest.cpp
+++ b/tests/Process/TierRulesTest.cpp
@@ -1,11 +1,11 @@
 #include "platform/WireNames.h"
+#include "standins/SiteChecker.h"
 #include "tests/support/TierWorld.h"
 
 #include <catch2/catch.hpp>
 
 #include <algorithm>
 #include <random>
-#include <set>
 
 using namespace pimentoward;
 using namespace pimentoward::standins;
@@ -50,37 +50,6 @@
     }
 }
 
-std::vector<std::string> partSignatures(const TierWorld::Outcome &outcome)
-{
-    std::vector<std::string> parts;
-    std::string text(outcome.reply.headers.value(platform::wire::forwardHeaders().partSignatures));
-    for (std::size_t start = 0; start < text.size();) {
-        const std::size_t end = std::min(text.find(", ", start), text.size());
-        parts.push_back(text.substr(start, end - start));
-        start = end + 2;
-    }
-    return parts;
-}
-
-/// True where a success is whole, of this request, and honest about what it covers.
-bool isHonest(const TierWorld::Outcome &outcome, std::size_t shards)
-{
-    std::set<std::string> services;
-    for (const std::string &signature : partSignatures(outcome)) {
-        if (signature.find("." + outcome.requestId + ".") == std::string::npos) {
-            return false;
-        }
-        services.insert(signature.substr(0, signature.find('-')));
-    }
-    const std::size_t parts = partSignatures(outcome).size();
-    const std::string missing(
-        outcome.reply.headers.value(platform::wire::forwardHeaders().missingParts));
-    const bool countsAll = parts + std::stoul(missing) == shards && services.size() == parts;
-    const bool isWholeBody = outcome.reply.body.size() == std::min<std::size_t>(8, 4 * parts) * 16;
-    const bool isOwnBody = outcome.reply.body.find(outcome.requestId) != std::string::npos;
-    return countsAll && isWholeBody && isOwnBody && parts * 10 >= shards * 6;
-}
-
 /// Successes whose content is not what their request asked for.
 std::size_t wrongSuccesses(TierWorld &world, std::size_t requests)
 {
@@ -90,18 +59,11 @@
         world.run(3ms);
     }
     world.runUntilEnded();
-    std::size_t wrong = 0;
-    for (std::size_t index = 0; index < requests; ++index) {
-        const TierWorld::Outcome &outcome = *outcomes[index];
-        if (outcome.status != 200) {
-            continue;
-        }
-        const bool isOwn
-            = outcome.reply.headers.value("X-Response-Stamp").find("." + outcome.requestId + ".")
-            != std::string_view::npos;
-        wrong += (index % 3 == 0 ? isOwn : isHonest(outcome, 5)) ? 0 : 1;
-    }
-    return wrong;
+    const SiteChecker checker(5, 0.6);
+    return static_cast<std::size_t>(
+        std::count_if(outcomes.begin(), outcomes.end(), [&](const TierWorld::Outcome *outcome) {
+            return outcome->status == 200 && !checker.wrongSuccess(*outcome).empty();
+        }));
 }
 
 } // namespace
@@ -223,7 +185,7 @@
         for (const ShardServer *server : world.site().servers(Site::shardName(shard))) {
             arrivals += server->arrivals();
         }
-        isKept = isKept && arrivals <= requests * (1 + ratio) + slack;
+        isKept = isKept && static_cast<double>(arrivals) <= requests * (1 + ratio) + slack;
     }
     CHECK(isKept == isOn);
 }
--- a/tests/support/TierWorld.cpp
+++ b/tests/support/TierWorld.cpp
@@ -23,7 +23,9 @@
     sockaddr_in local {};
     local.sin_family = AF_INET;
     local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(socket, reinterpret_cast<sockaddr *>(&local), sizeof(local));
+    if (bind(socket, reinterpret_cast<sockaddr *>(&local), sizeof(local)) != 0) {
+        throw std::runtime_error("cannot bind a port");
+    }
     socklen_t size = sizeof(local);
     getsockname(socket, reinterpret_cast<sockaddr *>(&local), &size);
     ::close(socket);
@@ -95,19 +97,11 @@
     return m_version > 0 && m_backends >= backends && m_members >= members;
 }
 
-/// One caller with one request on a connection of its own.
-struct TierWorld::Caller
-{
-    Outcome outcome;
-    std::unique_ptr<BackendConnection> connection;
-    std::unique_ptr<Timer> leave;
-    SteadyTime sentAt {};
-};
-
 TierWorld::TierWorld(const Settings &settings)
     : m_settings(settings)
     , m_loop(newPreciseLoop())
     , m_site(std::make_unique<Site>(m_loop, settings.site))
+    , m_caller(std::make_unique<SiteCaller>(m_loop, settings.site.host, "r"))
 {
     if (Reason reason; !m_site->start(reason)) {
         throw std::runtime_error(reason.text);
@@ -120,7 +114,7 @@
 
 TierWorld::~TierWorld()
 {
-    m_callers.clear();
+    m_caller.reset();
     m_vms.clear();
     m_site.reset();
     event_base_free(m_loop);
@@ -151,42 +145,6 @@
     return isKnown();
 }
 
-TierWorld::Outcome &TierWorld::send(const Request &request)
-{
-    auto caller = std::make_unique<Caller>();
-    Caller *key = caller.get();
-    key->outcome.requestId = "r" + std::to_string(++m_lastRequest);
-    key->sentAt = std::chrono::steady_clock::now();
-    HttpRequestMessage message;
-    message.method = request.method;
-    message.target = request.path;
-    message.body = request.body;
-    const ForwardHeaders names = platform::wire::forwardHeaders();
-    message.headers.add("Host", m_settings.site.host);
-    message.headers.add(names.requestId, key->outcome.requestId);
-    message.headers.add(names.timeLeft, std::to_string(request.timeLeft.count()));
-    key->connection = std::make_unique<BackendConnection>(m_loop, vm(request.vm).address(),
-                                                          [](BackendConnection &) {});
-    const BackendConnection::Exchange exchange {serialize(message), request.method,
-                                                key->outcome.requestId, names.requestId};
-    key->connection->send(exchange, [key](ExchangeEnd end, HttpReplyMessage reply) {
-        key->outcome.isEnded = true;
-        key->outcome.status = end == ExchangeEnd::Replied ? reply.status : 0;
-        key->outcome.reply = std::move(reply);
-        key->outcome.took = std::chrono::duration_cast<std::chrono::milliseconds>(
-            std::chrono::steady_clock::now() - key->sentAt);
-    });
-    if (request.leaveAfter.count() > 0) {
-        key->leave = std::make_unique<Timer>(m_loop, [key] {
-            key->connection.reset();
-            key->outcome.isEnded = true;
-        });
-        key->leave->startOnce(request.leaveAfter);
-    }
-    m_callers.push_back(std::move(caller));
-    return key->outcome;
-}
-
 TierWorld::Outcome TierWorld::ask(const Request &request)
 {
     Outcome &outcome = send(request);
@@ -201,12 +159,5 @@
 
 void TierWorld::runUntilEnded()
 {
-    runLoop(m_loop, 5s, [this] {
-        for (const auto &caller : m_callers) {
-            if (!caller->outcome.isEnded) {
-                return false;
-            }
-        }
-        return true;
-    });
+    runLoop(m_loop, 5s, [this] { return m_caller->haveAllEnded(); });
 }
--- a/tests/support/TierWorld.h
+++ b/tests/support/TierWorld.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "Pimentoward/Connection/BackendConnection.h"
 #include "Pimentoward/Core/SystemClock.h"
 #include "Pimentoward/Discovery/Discovery.h"
 #include "Pimentoward/Process/ServingTask.h"
 #include "platform/StoreClient.h"
 #include "standins/Site.h"
+#include "standins/SiteCaller.h"
 
 #include <functional>
 #include <map>
@@ -57,25 +57,10 @@
         TierNode::AdjustDiscovery adjustDiscovery = [](pimentoward::Discovery::Settings &) {};
     };
 
-    /// What became of a caller's request.
-    struct Outcome
+    using Outcome = pimentoward::standins::SiteCaller::Outcome;
+    struct Request : pimentoward::standins::SiteCaller::Request
     {
-        std::string requestId;
-        bool isEnded = false;
-        /// 0 where the connection ended without an answer.
-        int status = 0;
-        pimentoward::HttpReplyMessage reply;
-        std::chrono::milliseconds took {0};
-    };
-    struct Request
-    {
-        std::string method = "GET";
-        std::string path = "/all/x";
-        std::string body;
-        std::chrono::milliseconds timeLeft {1000};
         std::size_t vm = 0;
-        /// The caller leaves after this time; 0: it stays.
-        std::chrono::milliseconds leaveAfter {0};
     };
 
     explicit TierWorld(const Settings &settings);
@@ -91,7 +76,11 @@
     bool waitUntilKnown();
 
     /// Sends a request; the outcome is filled in while the loop runs.
-    Outcome &send(const Request &request);
+    Outcome &send(const Request &request)
+    {
+        return m_caller->send(vm(request.vm).address(), request);
+    }
+    const std::list<Outcome> &outcomes() const { return m_caller->outcomes(); }
     /// Sends a request and runs until it has ended.
     Outcome ask(const Request &request);
     /// Runs for a time, or until all requests sent have ended.
@@ -99,12 +88,9 @@
     void runUntilEnded();
 
 private:
-    struct Caller;
-
     Settings m_settings;
     event_base *m_loop;
     std::unique_ptr<pimentoward::standins::Site> m_site;
     std::vector<std::unique_ptr<TierNode>> m_vms;
-    std::vector<std::unique_ptr<Caller>> m_callers;
-    std::size_t m_lastRequest = 0;
+    std::unique_ptr<pimentoward::standins::SiteCaller> m_caller;
 };
