An address that another backend server has taken over gets one try, not many

Cause: two VMs cut off from the store still knew a crashed backend server whose address had gone to a server of another service. Change: after 421 a link gets nothing until its record names another address or run. Test: "BUDGET: an address that another service has taken over gets no more than one try", red with the check off.

--- a/src/Pimentoward/Connection/BackendLink.h
+++ b/src/Pimentoward/Connection/BackendLink.h
@@ -26,6 +26,11 @@
     BackendHealth &health() { return m_health; }
     const BackendHealth &health() const { return m_health; }
 
+    /// Another backend server has answered at this address. Nothing more is to be sent there until
+    /// the store names another address or run: each request would only count as one too many for
+    /// whoever is there now.
+    void onMisdirected() { m_isMisdirected = true; }
+    bool isMisdirected() const { return m_isMisdirected; }
     /// False where other replicas are to be used first, so that connections suffice for all VMs.
     bool isPreferred() const { return m_isPreferred; }
     void changePreferred(bool isPreferred) { m_isPreferred = isPreferred; }
@@ -65,6 +70,7 @@
     std::uint64_t m_opened = 0;
     bool m_isInService = true;
     bool m_isPreferred = true;
+    bool m_isMisdirected = false;
 };
 
 } // namespace pimentoward
--- a/src/Pimentoward/Request/Forwarder.cpp
+++ b/src/Pimentoward/Request/Forwarder.cpp
@@ -249,6 +249,9 @@
     } else {
         health.onFailed(exchange.healthNumber, now);
     }
+    if (reply.isMisdirected && m_settings.checks.misdirected) {
+        exchange.link->onMisdirected();
+    }
 }
 
 void Forwarder::finish(ActiveRequest &request, GatherOutcome outcome)
@@ -364,7 +367,8 @@
     std::vector<BackendChooser::Candidate> candidates;
     for (const BackendLink *link : m_fleet.linksOf(service)) {
         const BackendServerId &id = link->record().id;
-        if (std::find(avoid.begin(), avoid.end(), id) != avoid.end()) {
+        const bool isAvoided = std::find(avoid.begin(), avoid.end(), id) != avoid.end();
+        if (isAvoided || link->isMisdirected()) {
             continue;
         }
         candidates.push_back({&id, link->record().failureDomain == m_settings.failureDomain,
--- a/src/Pimentoward/Request/Forwarder.h
+++ b/src/Pimentoward/Request/Forwarder.h
@@ -29,6 +29,8 @@
     bool expectedBackend = true;
     /// Work for a caller that has left is given up.
     bool callerGone = true;
+    /// An address that another backend server has taken over gets nothing more.
+    bool misdirected = true;
     /// Backend servers out of service get nothing new.
     bool outOfService = true;
 };
--- a/src/Pimentoward/Request/GatherTypes.h
+++ b/src/Pimentoward/Request/GatherTypes.h
@@ -44,6 +44,8 @@
     HttpReplyMessage message;
     /// The backend server's own proof of the reply; empty where it gave none.
     std::string signature;
+    /// Another backend server answers at that address; the one asked for is not there any more.
+    bool isMisdirected = false;
     /// Short word for logs: what the kind was judged by.
     const char *why = "";
 };
--- a/src/Pimentoward/Request/ReplyJudge.cpp
+++ b/src/Pimentoward/Request/ReplyJudge.cpp
@@ -30,6 +30,7 @@
     judged.signature = reply.headers.value(names.signature);
     if (reply.status == statusMisdirected) {
         judged.kind = ReplyKind::NotRun;
+        judged.isMisdirected = true;
         judged.why = "another backend server";
     } else if (!isSuccess(reply.status) && reply.headers.has(names.notRun)) {
         judged.kind = ReplyKind::NotRun;
--- a/tests/Process/TierRulesTest.cpp
+++ b/tests/Process/TierRulesTest.cpp
@@ -295,6 +295,37 @@
     CHECK((outcome.status == 503) == isOn);
 }
 
+TEST_CASE("BUDGET: an address that another service has taken over gets no more than one try",
+          "[rules]")
+{
+    const bool isOn = GENERATE(true, false);
+    TierWorld::Settings settings;
+    settings.adjust
+        = [isOn](ServingTaskSettings &serving) { serving.forwarder.checks.misdirected = isOn; };
+    TierWorld world(settings);
+    REQUIRE(world.waitUntilKnown());
+    // The VM does not hear of it, as one that is cut off from the store.
+    ShardServer &server = *world.site().servers("single").front();
+    server.changeId("other-1");
+    for (int index = 0; index < 60; ++index) {
+        world.send(request("/one/x"));
+        world.run(20ms);
+    }
+    world.runUntilEnded();
+    CHECK((server.arrivals() <= 1) == isOn);
+    CHECK(server.runs().empty());
+    // Its record names a new run there: it is asked again.
+    server.changeId("single-0");
+    world.store().put(std::string(platform::wire::backendPrefix) + "single-0",
+                      R"({"service":"single","address":")" + server.address().toString()
+                          + R"(","zone":"a","maxConcurrency":3,"state":"ready","born":2})");
+    world.run(500ms);
+    for (int index = 0; index < 20; ++index) {
+        CHECK(world.ask(request("/one/x")).status == 200);
+    }
+    CHECK_FALSE(server.runs().empty());
+}
+
 TEST_CASE("CONFIG: a request that outlasts its route's time is answered then", "[rules]")
 {
     TierWorld world({});
