What records put in force apart from whom to ask; bounds of the settings file brought within sense

Change: DiscoveredRecords decides what is in force, Discovery asks and hands on; times and numbers of the settings file are clamped, NaN and infinity take the preset. Test: "Bounds that make no sense are brought within what does".

--- /dev/null
+++ b/src/Pimentoward/Discovery/DiscoveredRecords.cpp
@@ -0,0 +1,154 @@
+#include "Pimentoward/Discovery/DiscoveredRecords.h"
+
+#include "Pimentoward/Core/Log.h"
+#include "Pimentoward/Discovery/MemberAnnouncement.h"
+
+#include <algorithm>
+
+namespace pimentoward {
+
+namespace {
+
+const log4cplus::Logger &recordsLog()
+{
+    static const log4cplus::Logger log = Log::part("discovery");
+    return log;
+}
+
+/// What follows `prefix` in `key`; nothing where the key begins otherwise.
+std::optional<std::string> rest(const std::string &key, const std::string &prefix)
+{
+    if (key.compare(0, prefix.size(), prefix) != 0) {
+        return std::nullopt;
+    }
+    return key.substr(prefix.size());
+}
+
+} // namespace
+
+DiscoveredRecords::DiscoveredRecords(RecordCodec codec, const Settings &settings, Hooks hooks)
+    : m_codec(std::move(codec))
+    , m_hooks(std::move(hooks))
+    , m_directory(settings.directory)
+    , m_members(settings.self, settings.members)
+{ }
+
+void DiscoveredRecords::onWritten(const StoreItem &item)
+{
+    if (item.key == m_codec.settingsKey) {
+        // Only the newest version of one answer is worth reading.
+        m_unreadSettings = item;
+    } else if (const auto id = rest(item.key, m_codec.backendPrefix)) {
+        takeBackend(*id, item);
+    } else if (const auto domain = rest(item.key, m_codec.domainOutPrefix)) {
+        LOG4CPLUS_INFO(recordsLog(),
+                       "event=domain-out domain=" << *domain << " revision=" << item.revision);
+        m_directory.onDomainOut(*domain, true);
+    } else if (const auto member = rest(item.key, m_codec.memberPrefix)) {
+        takeMember(*member, item);
+    }
+}
+
+void DiscoveredRecords::takeMember(const MemberId &member, const StoreItem &item)
+{
+    m_members.onPresent(member);
+    Reason reason;
+    if (const auto announced = decodeMember(member, item.value, reason)) {
+        m_hooks.onMember(*announced);
+        return;
+    }
+    LOG4CPLUS_WARN(recordsLog(),
+                   "event=member-unreadable member=" << member << " revision=" << item.revision
+                                                     << " reason=\"" << reason.text << '"');
+}
+
+void DiscoveredRecords::takeBackend(const BackendServerId &id, const StoreItem &item)
+{
+    Reason reason;
+    std::optional<BackendRecord> record = m_codec.readBackend(id, item.value, reason);
+    if (!record) {
+        LOG4CPLUS_WARN(recordsLog(),
+                       "event=backend-unreadable backend=" << id << " revision=" << item.revision
+                                                           << " reason=\"" << reason.text << '"');
+    } else {
+        LOG4CPLUS_INFO(recordsLog(),
+                       "event=backend backend=" << id << " service=" << record->service
+                                                << " address=" << record->address.toString()
+                                                << " domain=" << record->failureDomain
+                                                << " leaving=" << record->isLeaving
+                                                << " incarnation=" << record->incarnation
+                                                << " revision=" << item.revision);
+    }
+    m_directory.onWritten(id, std::move(record));
+}
+
+void DiscoveredRecords::takeRoutes(const StoreItem &item)
+{
+    Reason reason;
+    RouteTablePtr routes = m_codec.readRoutes(item.value, reason);
+    const Revision current = m_routes ? m_routes->version() : 0;
+    if (!routes) {
+        LOG4CPLUS_ERROR(recordsLog(),
+                        "event=settings-unreadable settings=" << current << " revision="
+                                                              << item.revision << " reason=\""
+                                                              << reason.text << '"');
+        return;
+    }
+    if (m_routes && routes->version() <= current) {
+        LOG4CPLUS_WARN(recordsLog(),
+                       "event=settings-older settings=" << current
+                                                        << " offered=" << routes->version());
+        return;
+    }
+    LOG4CPLUS_INFO(recordsLog(),
+                   "event=settings settings=" << routes->version() << " before=" << current
+                                              << " routes=" << routes->routes().size());
+    m_routes = std::move(routes);
+    m_hooks.onRoutes(m_routes);
+}
+
+void DiscoveredRecords::onRemoved(const std::string &key, SteadyTime now)
+{
+    if (const auto id = rest(key, m_codec.backendPrefix)) {
+        LOG4CPLUS_INFO(recordsLog(), "event=backend-gone backend=" << *id);
+        m_directory.onRemoved(*id, now);
+    } else if (const auto domain = rest(key, m_codec.domainOutPrefix)) {
+        LOG4CPLUS_INFO(recordsLog(), "event=domain-back domain=" << *domain);
+        m_directory.onDomainOut(*domain, false);
+    } else if (const auto member = rest(key, m_codec.memberPrefix)) {
+        LOG4CPLUS_INFO(recordsLog(), "event=member-gone member=" << *member);
+        m_members.onVanished(*member, now);
+        m_hooks.onMemberGone(*member);
+    }
+}
+
+void DiscoveredRecords::publish(SteadyTime now)
+{
+    if (m_unreadSettings) {
+        takeRoutes(*m_unreadSettings);
+        m_unreadSettings.reset();
+    }
+    m_directory.expire(now);
+    const std::size_t members = m_members.count(now);
+    if (BackendListPtr list = m_directory.list(); list != m_publishedBackends) {
+        m_publishedBackends = list;
+        m_hooks.onBackends(std::move(list));
+    }
+    if (members != m_publishedMembers) {
+        LOG4CPLUS_INFO(recordsLog(),
+                       "event=members count=" << members << " before=" << m_publishedMembers);
+        m_publishedMembers = members;
+        m_hooks.onMembers(members);
+    }
+}
+
+std::optional<SteadyTime> DiscoveredRecords::nextChange() const
+{
+    std::optional<SteadyTime> next = m_directory.nextExpiry();
+    if (const auto change = m_members.nextChange()) {
+        next = std::min(next.value_or(*change), *change);
+    }
+    return next;
+}
+
+} // namespace pimentoward
--- /dev/null
+++ b/src/Pimentoward/Discovery/DiscoveredRecords.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "Pimentoward/Discovery/FeedChooser.h"
+#include "Pimentoward/Discovery/KeyValueStore.h"
+#include "Pimentoward/Discovery/RecordCodec.h"
+#include "Pimentoward/Discovery/SharedMembers.h"
+#include "Pimentoward/Version/BackendDirectory.h"
+#include "Pimentoward/Version/RouteTable.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace pimentoward {
+
+/// Decides what the records of the store put in force: settings that never go back, backend servers
+/// in service, and the VMs that share limits. Does no input or output but for log lines.
+class DiscoveredRecords
+{
+public:
+    struct Settings
+    {
+        MemberId self;
+        BackendDirectory::Settings directory;
+        SharedMembers::Settings members;
+    };
+
+    /// Each is told only after a change.
+    struct Hooks
+    {
+        std::function<void(RouteTablePtr)> onRoutes;
+        std::function<void(BackendListPtr)> onBackends;
+        std::function<void(std::size_t)> onMembers;
+        std::function<void(const FeedChooser::Member &)> onMember;
+        std::function<void(const MemberId &)> onMemberGone;
+    };
+
+    DiscoveredRecords(RecordCodec codec, const Settings &settings, Hooks hooks);
+
+    void onWritten(const StoreItem &item);
+    void onRemoved(const std::string &key, SteadyTime now);
+    /// The store was last seen failing at `time`.
+    void onOutage(SteadyTime time) { m_directory.onOutage(time); }
+    /// A VM's record, also where it was read apart from the others.
+    void takeMember(const MemberId &member, const StoreItem &item);
+    /// Tells what has changed up to now.
+    void publish(SteadyTime now);
+    /// When publish() next has something to tell though nothing comes from the store.
+    std::optional<SteadyTime> nextChange() const;
+    /// Version of the settings in force; 0 for none.
+    Revision settingsVersion() const { return m_routes ? m_routes->version() : 0; }
+    const RecordCodec &codec() const { return m_codec; }
+
+private:
+    void takeBackend(const BackendServerId &id, const StoreItem &item);
+    void takeRoutes(const StoreItem &item);
+
+    RecordCodec m_codec;
+    Hooks m_hooks;
+    BackendDirectory m_directory;
+    SharedMembers m_members;
+    /// The newest settings document that has not been read yet.
+    std::optional<StoreItem> m_unreadSettings;
+    RouteTablePtr m_routes;
+    BackendListPtr m_publishedBackends;
+    std::size_t m_publishedMembers = 0;
+};
+
+} // namespace pimentoward
--- a/src/Pimentoward/Discovery/Discovery.cpp
+++ b/src/Pimentoward/Discovery/Discovery.cpp
@@ -15,31 +15,28 @@
     return log;
 }
 
-/// What follows `prefix` in `key`; nothing where the key begins otherwise.
-std::optional<std::string> rest(const std::string &key, const std::string &prefix)
-{
-    if (key.compare(0, prefix.size(), prefix) != 0) {
-        return std::nullopt;
-    }
-    return key.substr(prefix.size());
-}
-
 } // namespace
 
 Discovery::Discovery(event_base *loop, const Clock &clock, KeyValueStore &store, RecordCodec codec,
                      const Settings &settings, Hooks hooks)
     : m_clock(clock)
     , m_store(store)
-    , m_codec(std::move(codec))
     , m_settings(settings)
-    , m_hooks(std::move(hooks))
+    , m_records(std::move(codec), {settings.feed.self, settings.directory, settings.members},
+                {std::move(hooks.onRoutes), std::move(hooks.onBackends), std::move(hooks.onMembers),
+                 [this](const FeedChooser::Member &member) { m_chooser.onPresent(member); },
+                 [this](const MemberId &member) { onMemberGone(member); }})
     , m_mirror(settings.mirror,
-               {[this](const StoreItem &item) { onWritten(item); },
-                [this](const std::string &key, Revision revision) { onRemoved(key, revision); },
+               {[this](const StoreItem &item) {
+                    m_copy.onWritten(item);
+                    m_records.onWritten(item);
+                },
+                [this](const std::string &key, Revision revision) {
+                    m_copy.onRemoved(key, revision);
+                    m_records.onRemoved(key, m_clock.now());
+                },
                 [this] { onOutage(); }, [this](bool isList) { onCurrent(isList); }})
     , m_registration(loop, store, registrationSettings(settings))
-    , m_directory(settings.directory)
-    , m_members(settings.feed.self, settings.members)
     , m_chooser(settings.feed)
     , m_feedClient(loop)
     , m_feedServer(loop, clock, m_copy, [this] { return freshness(); })
@@ -69,20 +66,20 @@
 
 void Discovery::takeCensus(const std::string &after)
 {
-    m_store.range(m_codec.memberPrefix, after,
-                  [this](const std::optional<StorePage> &page, const StoreFailure &failure) {
-                      if (!page) {
-                          LOG4CPLUS_WARN(discoveryLog(),
-                                         "event=no-census reason=\"" << failure.text << '"');
-                          return;
-                      }
-                      for (const StoreItem &item : page->items) {
-                          takeMember(item.key.substr(m_codec.memberPrefix.size()), item);
-                      }
-                      if (page->hasMore && !page->items.empty()) {
-                          takeCensus(page->items.back().key);
-                      }
-                  });
+    m_store.range(
+        m_records.codec().memberPrefix, after,
+        [this](const std::optional<StorePage> &page, const StoreFailure &failure) {
+            if (!page) {
+                LOG4CPLUS_WARN(discoveryLog(), "event=no-census reason=\"" << failure.text << '"');
+                return;
+            }
+            for (const StoreItem &item : page->items) {
+                m_records.takeMember(item.key.substr(m_records.codec().memberPrefix.size()), item);
+            }
+            if (page->hasMore && !page->items.empty()) {
+                takeCensus(page->items.back().key);
+            }
+        });
 }
 
 void Discovery::leave(std::function<void()> done)
@@ -196,7 +193,7 @@
     if (freshness.sinceOutage) {
         const SteadyTime outageAt = now - *freshness.sinceOutage;
         m_outageAt = std::max(m_outageAt.value_or(outageAt), outageAt);
-        m_directory.onOutage(*m_outageAt);
+        m_records.onOutage(*m_outageAt);
     }
     if (revision < m_mirror.revision()) {
         onVmFailed(vm, {StoreError::Refused, "VM knows less than this one"});
@@ -235,8 +232,8 @@
 {
     if (!m_isStoreLost) {
         LOG4CPLUS_WARN(discoveryLog(),
-                       "event=store-lost revision=" << m_mirror.revision() << " settings="
-                                                    << (m_routes ? m_routes->version() : 0)
+                       "event=store-lost revision=" << m_mirror.revision()
+                                                    << " settings=" << m_records.settingsVersion()
                                                     << " reason=\"" << failure.text << '"');
     }
     m_isStoreLost = true;
@@ -251,7 +248,7 @@
         return;
     }
     m_outageAt = m_clock.now();
-    m_directory.onOutage(*m_outageAt);
+    m_records.onOutage(*m_outageAt);
 }
 
 void Discovery::onCurrent(bool isList)
@@ -265,135 +262,25 @@
     }
     m_copy.onCurrent(m_mirror.revision());
     m_feedServer.onChanged();
-    if (m_unreadSettings) {
-        takeRoutes(*m_unreadSettings);
-        m_unreadSettings.reset();
-    }
     publish();
 }
 
-void Discovery::onWritten(const StoreItem &item)
-{
-    m_copy.onWritten(item);
-    if (item.key == m_codec.settingsKey) {
-        // Only the newest version of one answer is worth reading.
-        m_unreadSettings = item;
-    } else if (const auto id = rest(item.key, m_codec.backendPrefix)) {
-        takeBackend(*id, item);
-    } else if (const auto domain = rest(item.key, m_codec.domainOutPrefix)) {
-        LOG4CPLUS_INFO(discoveryLog(),
-                       "event=domain-out domain=" << *domain << " revision=" << item.revision);
-        m_directory.onDomainOut(*domain, true);
-    } else if (const auto member = rest(item.key, m_codec.memberPrefix)) {
-        takeMember(*member, item);
-    }
-}
-
-void Discovery::takeMember(const MemberId &member, const StoreItem &item)
-{
-    m_members.onPresent(member);
-    Reason reason;
-    if (const auto announced = decodeMember(member, item.value, reason)) {
-        m_chooser.onPresent(*announced);
-        return;
-    }
-    LOG4CPLUS_WARN(discoveryLog(),
-                   "event=member-unreadable member=" << member << " revision=" << item.revision
-                                                     << " reason=\"" << reason.text << '"');
-}
-
-void Discovery::onRemoved(const std::string &key, Revision revision)
-{
-    m_copy.onRemoved(key, revision);
-    if (const auto id = rest(key, m_codec.backendPrefix)) {
-        LOG4CPLUS_INFO(discoveryLog(), "event=backend-gone backend=" << *id);
-        m_directory.onRemoved(*id, m_clock.now());
-    } else if (const auto domain = rest(key, m_codec.domainOutPrefix)) {
-        LOG4CPLUS_INFO(discoveryLog(), "event=domain-back domain=" << *domain);
-        m_directory.onDomainOut(*domain, false);
-    } else if (const auto member = rest(key, m_codec.memberPrefix)) {
-        LOG4CPLUS_INFO(discoveryLog(), "event=member-gone member=" << *member);
-        m_members.onVanished(*member, m_clock.now());
-        m_chooser.onVanished(*member);
-        if (*member == m_settings.feed.self) {
-            m_registration.onVanished();
-        }
-    }
-}
-
-void Discovery::takeBackend(const BackendServerId &id, const StoreItem &item)
-{
-    Reason reason;
-    std::optional<BackendRecord> record = m_codec.readBackend(id, item.value, reason);
-    if (!record) {
-        LOG4CPLUS_WARN(discoveryLog(),
-                       "event=backend-unreadable backend=" << id << " revision=" << item.revision
-                                                           << " reason=\"" << reason.text << '"');
-    } else {
-        LOG4CPLUS_INFO(discoveryLog(),
-                       "event=backend backend=" << id << " service=" << record->service
-                                                << " address=" << record->address.toString()
-                                                << " domain=" << record->failureDomain
-                                                << " leaving=" << record->isLeaving
-                                                << " incarnation=" << record->incarnation
-                                                << " revision=" << item.revision);
-    }
-    m_directory.onWritten(id, std::move(record));
-}
-
-void Discovery::takeRoutes(const StoreItem &item)
+void Discovery::onMemberGone(const MemberId &member)
 {
-    Reason reason;
-    RouteTablePtr routes = m_codec.readRoutes(item.value, reason);
-    const Revision current = m_routes ? m_routes->version() : 0;
-    if (!routes) {
-        LOG4CPLUS_ERROR(discoveryLog(),
-                        "event=settings-unreadable settings=" << current << " revision="
-                                                              << item.revision << " reason=\""
-                                                              << reason.text << '"');
-        return;
+    m_chooser.onVanished(member);
+    if (member == m_settings.feed.self) {
+        m_registration.onVanished();
     }
-    if (m_routes && routes->version() <= current) {
-        LOG4CPLUS_WARN(discoveryLog(),
-                       "event=settings-older settings=" << current
-                                                        << " offered=" << routes->version());
-        return;
-    }
-    LOG4CPLUS_INFO(discoveryLog(),
-                   "event=settings settings=" << routes->version() << " before=" << current
-                                              << " routes=" << routes->routes().size());
-    m_routes = std::move(routes);
-    m_hooks.onRoutes(m_routes);
 }
 
 void Discovery::publish()
 {
-    const SteadyTime now = m_clock.now();
-    m_directory.expire(now);
-    const std::size_t members = m_members.count(now);
-    startExpiryTimer();
+    // A copy that is not whole yet would put out of service what it does not know.
     if (!m_mirror.isComplete()) {
         return;
     }
-    if (BackendListPtr list = m_directory.list(); list != m_publishedBackends) {
-        m_publishedBackends = list;
-        m_hooks.onBackends(std::move(list));
-    }
-    if (members != m_publishedMembers) {
-        LOG4CPLUS_INFO(discoveryLog(),
-                       "event=members count=" << members << " before=" << m_publishedMembers);
-        m_publishedMembers = members;
-        m_hooks.onMembers(members);
-    }
-}
-
-void Discovery::startExpiryTimer()
-{
-    std::optional<SteadyTime> next = m_directory.nextExpiry();
-    if (const auto change = m_members.nextChange()) {
-        next = std::min(next.value_or(*change), *change);
-    }
-    if (next) {
+    m_records.publish(m_clock.now());
+    if (const auto next = m_records.nextChange()) {
         m_expiryTimer.startOnce(std::max(*next - m_clock.now(), Duration::zero()));
     }
 }
--- a/src/Pimentoward/Discovery/Discovery.h
+++ b/src/Pimentoward/Discovery/Discovery.h
@@ -1,17 +1,15 @@
 #pragma once
 
 #include "Pimentoward/Core/Clock.h"
+#include "Pimentoward/Discovery/DiscoveredRecords.h"
 #include "Pimentoward/Discovery/FeedChooser.h"
 #include "Pimentoward/Discovery/FeedClient.h"
 #include "Pimentoward/Discovery/FeedServer.h"
 #include "Pimentoward/Discovery/KeyValueStore.h"
 #include "Pimentoward/Discovery/Registration.h"
-#include "Pimentoward/Discovery/SharedMembers.h"
 #include "Pimentoward/Discovery/StoreCopy.h"
 #include "Pimentoward/Discovery/StoreMirror.h"
 #include "Pimentoward/Process/Timer.h"
-#include "Pimentoward/Version/BackendDirectory.h"
-#include "Pimentoward/Version/RouteTable.h"
 
 #include <functional>
 #include <optional>
@@ -19,24 +17,6 @@
 
 namespace pimentoward {
 
-/// Where the deployment's records stand in the store, and how they are read.
-struct RecordCodec
-{
-    /// The key of the operators' settings.
-    std::string settingsKey;
-    /// Backend servers stand below it, each under its id.
-    std::string backendPrefix;
-    /// Failure domains that are taken out of service stand below it.
-    std::string domainOutPrefix;
-    /// VMs of the tier stand below it.
-    std::string memberPrefix;
-    /// Nothing and a reason where a record cannot be understood.
-    std::function<std::optional<BackendRecord>(const BackendServerId &, const std::string &value,
-                                               Reason &)>
-        readBackend;
-    std::function<RouteTablePtr(const std::string &value, Reason &)> readRoutes;
-};
-
 /// Learns settings, backend servers and other VMs from the store or from VMs that know it, hands on
 /// what it has learned, and tells what is in force. Belongs to one task.
 class Discovery
@@ -89,26 +69,18 @@
     bool takeFreshness(const Address &vm, const FeedFreshness &freshness, Revision revision);
     void onVmFailed(const Address &vm, const StoreFailure &failure);
     FeedFreshness freshness() const;
-    void onWritten(const StoreItem &item);
-    void onRemoved(const std::string &key, Revision revision);
     void onOutage();
     void onCurrent(bool isList);
-    void takeMember(const MemberId &member, const StoreItem &item);
     void logChoice(const FeedChooser::Choice &choice);
-    void takeBackend(const BackendServerId &id, const StoreItem &item);
-    void takeRoutes(const StoreItem &item);
+    void onMemberGone(const MemberId &member);
     void publish();
-    void startExpiryTimer();
 
     const Clock &m_clock;
     KeyValueStore &m_store;
-    RecordCodec m_codec;
     Settings m_settings;
-    Hooks m_hooks;
+    DiscoveredRecords m_records;
     StoreMirror m_mirror;
     Registration m_registration;
-    BackendDirectory m_directory;
-    SharedMembers m_members;
     StoreCopy m_copy;
     FeedChooser m_chooser;
     FeedClient m_feedClient;
@@ -120,11 +92,6 @@
     SteadyTime m_knownAt {};
     /// When the store was last seen failing, here or where this VM learns from.
     std::optional<SteadyTime> m_outageAt;
-    /// The newest settings document that has not been read yet.
-    std::optional<StoreItem> m_unreadSettings;
-    RouteTablePtr m_routes;
-    BackendListPtr m_publishedBackends;
-    std::size_t m_publishedMembers = 0;
     bool m_isStoreLost = false;
     Timer m_askTimer;
     Timer m_expiryTimer;
--- a/tests/platform/PlatformSettingsTest.cpp
+++ b/tests/platform/PlatformSettingsTest.cpp
@@ -70,6 +70,26 @@
     CHECK_FALSE(platform::readFile("/nowhere/at/all.toml", reason).has_value());
 }
 
+TEST_CASE("Bounds that make no sense are brought within what does")
+{
+    std::string text = settingsText;
+    for (const auto &[from, to] : std::vector<std::pair<std::string, std::string>> {
+             {"retryWindowS = 8", "retryWindowS = 0"},
+             {"retryRatio = 0.25", "retryRatio = nan"},
+             {"retrySlack = 54", "retrySlack = -1"},
+             {"graceS = 6", "graceS = -inf"}}) {
+        text.replace(text.find(from), from.size(), to);
+    }
+    Reason reason;
+    const auto settings = platform::readSettings(text, reason);
+    REQUIRE(settings.has_value());
+    const auto &budget = settings->process.serving.forwarder.retryBudget;
+    CHECK(budget.window >= 100ms);
+    CHECK(budget.ratio == 0.2);
+    CHECK(budget.fixedForAll == 0);
+    CHECK(settings->process.drain.limit > 0ms);
+}
+
 TEST_CASE("Mutated settings files are read or refused")
 {
     std::mt19937 random(3);
