The stand-in caller keeps its header names as long as its exchanges

The tier itself keeps its names for the process's life. Change: SiteCaller holds them as a member. Ruled out: a copy of the name in each exchange of the tier, on the hot path for the sake of a stand-in.

--- a/standins/SiteCaller.cpp
+++ b/standins/SiteCaller.cpp
@@ -8,6 +8,7 @@
 
 SiteCaller::SiteCaller(event_base *loop, std::string host, std::string prefix)
     : m_loop(loop)
+    , m_names(platform::wire::forwardHeaders())
     , m_host(std::move(host))
     , m_prefix(std::move(prefix))
 { }
@@ -20,21 +21,20 @@
     Outcome &outcome = m_outcomes.back();
     outcome.requestId = m_prefix + std::to_string(m_outcomes.size());
     outcome.request = request;
-    const ForwardHeaders names = platform::wire::forwardHeaders();
     HttpRequestMessage message;
     message.method = request.method;
     message.target = request.path;
     message.body = request.body;
     message.headers.add("Host", m_host);
-    message.headers.add(names.requestId, outcome.requestId);
-    message.headers.add(names.timeLeft, std::to_string(request.timeLeft.count()));
+    message.headers.add(m_names.requestId, outcome.requestId);
+    message.headers.add(m_names.timeLeft, std::to_string(request.timeLeft.count()));
     m_running.emplace_back();
     Running &running = m_running.back();
     running.sentAt = std::chrono::steady_clock::now();
     running.connection
         = std::make_unique<BackendConnection>(m_loop, vm, [](BackendConnection &) {});
     const BackendConnection::Exchange exchange {serialize(message), request.method,
-                                                outcome.requestId, names.requestId};
+                                                outcome.requestId, m_names.requestId};
     running.connection->send(
         exchange, [&outcome, sentAt = running.sentAt](ExchangeEnd end, HttpReplyMessage reply) {
             outcome.isEnded = true;
--- a/standins/SiteCaller.h
+++ b/standins/SiteCaller.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Pimentoward/Connection/BackendConnection.h"
+#include "Pimentoward/Connection/ForwardHeaders.h"
 #include "Pimentoward/Core/Address.h"
 #include "Pimentoward/Process/Timer.h"
 
@@ -58,6 +59,8 @@
     };
 
     event_base *m_loop;
+    /// Outlives the exchanges, which refer to its names.
+    ForwardHeaders m_names;
     std::string m_host;
     std::string m_prefix;
     std::list<Outcome> m_outcomes;
