--- a/cmake/TierSources.cmake
+++ b/cmake/TierSources.cmake
@@ -20,6 +20,7 @@
   Connection/HttpRequest.cpp
   Connection/HttpServer.cpp
   Connection/SocketOptions.cpp
+  Connection/UriEscape.cpp
   Discovery/DiscoveredRecords.cpp
   Discovery/Discovery.cpp
   Process/Drain.cpp
--- a/src/Pimentoward/Connection/HttpReader.cpp
+++ b/src/Pimentoward/Connection/HttpReader.cpp
@@ -162,11 +162,6 @@
 
 HttpReader::~HttpReader() = default;
 
-void HttpReader::changeLimits(const Limits &limits)
-{
-    m_state->limits = limits;
-}
-
 HttpReader::Progress HttpReader::read(std::string_view bytes, std::size_t &used)
 {
     static const http_parser_settings callbacks = makeCallbacks<State>();
--- a/src/Pimentoward/Connection/HttpReader.h
+++ b/src/Pimentoward/Connection/HttpReader.h
@@ -41,8 +41,6 @@
     HttpReader(const HttpReader &) = delete;
     HttpReader &operator=(const HttpReader &) = delete;
 
-    /// Takes changed limits, from the next byte on.
-    void changeLimits(const Limits &limits);
     /// Reads up to the end of a message; `used` tells how many bytes it took. After Finished the
     /// message is to be taken before the next call.
     Progress read(std::string_view bytes, std::size_t &used);
--- a/src/Pimentoward/Discovery/FeedClient.cpp
+++ b/src/Pimentoward/Discovery/FeedClient.cpp
@@ -1,11 +1,8 @@
 #include "Pimentoward/Discovery/FeedClient.h"
 
+#include "Pimentoward/Connection/UriEscape.h"
 #include "Pimentoward/Discovery/FeedPaths.h"
 
-#include <event2/http.h>
-
-#include <cstdlib>
-
 namespace pimentoward {
 
 namespace {
@@ -14,13 +11,6 @@
 constexpr std::chrono::milliseconds rangeTimeout {1000};
 constexpr std::chrono::milliseconds watchMargin {700};
 
-std::string escaped(const std::string &text)
-{
-    const std::unique_ptr<char, decltype(&std::free)> encoded(
-        evhttp_uriencode(text.data(), static_cast<ev_ssize_t>(text.size()), 0), &std::free);
-    return encoded ? encoded.get() : "";
-}
-
 StoreFailure failureOf(int status)
 {
     constexpr int gone = 410;
@@ -68,7 +58,7 @@
 void FeedClient::range(const Address &vm, const std::string &after, PageHook done)
 {
     HttpCall call;
-    call.target = std::string(feedRangePath) + "?after=" + escaped(after);
+    call.target = std::string(feedRangePath) + "?after=" + uriEscape(after);
     call.timeout = rangeTimeout;
     clientOf(vm).send(call, hookFor<FeedPage>(std::move(done), &decodeFeedPage));
 }
--- a/src/Pimentoward/Request/SharedRetryBudget.cpp
+++ b/src/Pimentoward/Request/SharedRetryBudget.cpp
@@ -63,11 +63,4 @@
     return true;
 }
 
-double SharedRetryBudget::unspent(SteadyTime now, std::size_t members)
-{
-    const Sums spent = sums(now);
-    const double allowed = allowance(spent, members);
-    return allowed <= 0 ? 0 : std::max(0.0, 1 - spent.extras / allowed);
-}
-
 } // namespace pimentoward
--- a/src/Pimentoward/Request/SharedRetryBudget.h
+++ b/src/Pimentoward/Request/SharedRetryBudget.h
@@ -39,8 +39,6 @@
     void onRequest(SteadyTime now);
     /// Takes one extra request; false where the share is used up. `members`: VMs at present.
     bool take(SteadyTime now, std::size_t members);
-    /// Part of the share that is still unspent, 0 to 1.
-    double unspent(SteadyTime now, std::size_t members);
 
 private:
     /// Counts of one part of the window.
--- a/src/Pimentoward/Version/BackendDirectory.cpp
+++ b/src/Pimentoward/Version/BackendDirectory.cpp
@@ -65,12 +65,6 @@
     m_list.reset();
 }
 
-void BackendDirectory::onDomainsOut(std::set<FailureDomain> domains)
-{
-    m_domainsOut = std::move(domains);
-    m_list.reset();
-}
-
 bool BackendDirectory::expire(SteadyTime now)
 {
     bool changed = false;
--- a/src/Pimentoward/Version/BackendDirectory.h
+++ b/src/Pimentoward/Version/BackendDirectory.h
@@ -48,7 +48,6 @@
     void onListed(const std::set<BackendServerId> &ids, SteadyTime now);
     /// A failure domain is taken out of service, or back in.
     void onDomainOut(const FailureDomain &domain, bool isOut);
-    void onDomainsOut(std::set<FailureDomain> domains);
 
     /// Drops what has been missing for long enough; true where that changed the list.
     bool expire(SteadyTime now);
