FAILBACK: cold backend servers get no more in a second than they bear, from all VMs together

Change: ColdLimit, one a link: this VM's whole number of requests a second. VMs are ranked for each backend server by a hash that all compute alike, so what remains of the bound goes to the first in rank and the sum keeps it; three quarters are spent. The Forwarder hears which VMs there are, not only how many; replicas elsewhere are picked by the same hash. Ruled out: a share by number alone, which is 0 or too much where there are more VMs than requests.

--- a/cmake/TierSources.cmake
+++ b/cmake/TierSources.cmake
@@ -12,6 +12,7 @@
   Connection/BackendLink.cpp
   Connection/CallerConnection.cpp
   Connection/CallerServer.cpp
+  Connection/ColdLimit.cpp
   Connection/ConcurrencyLimit.cpp
   Connection/HttpClient.cpp
   Connection/HttpConnection.cpp
--- a/src/Pimentoward/Connection/BackendFleet.cpp
+++ b/src/Pimentoward/Connection/BackendFleet.cpp
@@ -1,5 +1,7 @@
 #include "Pimentoward/Connection/BackendFleet.h"
 
+#include "Pimentoward/Process/RendezvousHash.h"
+
 #include <algorithm>
 #include <set>
 #include <utility>
@@ -35,9 +37,22 @@
     return std::clamp(share, 1U, std::max(1U, m_settings.connectionsPerSlot * record.slots));
 }
 
+void BackendFleet::shareCold(BackendLink &link, const RouteTable &routes,
+                             const std::vector<MemberId> &members) const
+{
+    const ServiceRules *rules = routes.service(link.record().service);
+    if (rules == nullptr || rules->coldRequestsPerSecond <= 0 || members.empty()) {
+        link.coldLimit().changeShare(0, 0, 1);
+        return;
+    }
+    const std::size_t rank = RendezvousHash::rank(members, m_settings.self, link.record().id);
+    link.coldLimit().changeShare(rules->coldRequestsPerSecond, rank, members.size());
+}
+
 void BackendFleet::update(const BackendListPtr &list, const RouteTablePtr &routes,
-                          std::size_t members)
+                          const std::vector<MemberId> &members)
 {
+    const SteadyTime now = std::chrono::steady_clock::now();
     removeMissing(*list);
     m_byService.clear();
     for (const auto &[service, records] : list->byService) {
@@ -48,13 +63,14 @@
                 takeOutOfService(std::exchange(link, nullptr));
             }
             if (!link) {
-                link = std::make_unique<BackendLink>(m_loop, record, m_onRoom);
+                link = std::make_unique<BackendLink>(m_loop, record, m_settings.cold, m_onRoom);
             }
-            link->changeRecord(record);
-            link->changeShare(shareOf(record, *routes, members));
+            link->changeRecord(record, now);
+            link->changeShare(shareOf(record, *routes, members.size()));
+            shareCold(*link, *routes, members);
             links.push_back(link.get());
         }
-        preferSome(links, *routes, members);
+        preferSome(links, *routes, members.size());
     }
 }
 
@@ -72,7 +88,7 @@
     const auto rank = [this](const BackendLink *link) {
         const BackendRecord &record = link->record();
         const bool isFar = record.failureDomain != m_settings.failureDomain;
-        return std::make_pair(isFar, std::hash<std::string>()(m_settings.self + '/' + record.id));
+        return std::make_pair(isFar, RendezvousHash::weight(m_settings.self, record.id));
     };
     std::sort(links.begin(), links.end(),
               [&](const BackendLink *a, const BackendLink *b) { return rank(a) < rank(b); });
--- a/src/Pimentoward/Connection/BackendFleet.h
+++ b/src/Pimentoward/Connection/BackendFleet.h
@@ -34,13 +34,16 @@
         /// Where this VM stands, and its name, by which it picks among replicas elsewhere.
         FailureDomain failureDomain;
         MemberId self;
+        ColdLimit::Settings cold;
     };
 
     BackendFleet(event_base *loop, const Settings &settings, BackendLink::RoomHook onRoom);
 
-    /// Takes a changed list, settings or number of VMs. Links to what is no longer in service get
+    /// Takes a changed list, settings or list of VMs. Links to what is no longer in service get
     /// nothing new.
-    void update(const BackendListPtr &list, const RouteTablePtr &routes, std::size_t members);
+    /// `members` are the VMs that share what backend servers bear, this one included.
+    void update(const BackendListPtr &list, const RouteTablePtr &routes,
+                const std::vector<MemberId> &members);
     /// Links to the backend servers of `service`.
     const std::vector<BackendLink *> &linksOf(const ServiceName &service) const;
     /// The link to one backend server in service; null where there is none.
@@ -56,6 +59,8 @@
                     std::size_t members) const;
     unsigned shareOf(const BackendRecord &record, const RouteTable &routes,
                      std::size_t members) const;
+    void shareCold(BackendLink &link, const RouteTable &routes,
+                   const std::vector<MemberId> &members) const;
     void takeOutOfService(std::unique_ptr<BackendLink> link);
     void removeMissing(const BackendList &list);
 
--- a/src/Pimentoward/Connection/BackendLink.cpp
+++ b/src/Pimentoward/Connection/BackendLink.cpp
@@ -5,13 +5,25 @@
 
 namespace pimentoward {
 
-BackendLink::BackendLink(event_base *loop, BackendRecord record, RoomHook onRoom)
+BackendLink::BackendLink(event_base *loop, BackendRecord record, const ColdLimit::Settings &cold,
+                         RoomHook onRoom)
     : m_loop(loop)
     , m_record(std::move(record))
     , m_onRoom(std::move(onRoom))
+    , m_coldLimit(cold)
     , m_sweep(loop, [this] { m_ended.clear(); })
 { }
 
+void BackendLink::changeRecord(BackendRecord record, SteadyTime now)
+{
+    // A list that is built anew repeats records that have not changed.
+    if (record.coldLeft != m_coldLeft) {
+        m_coldLeft = record.coldLeft;
+        m_coldLimit.changeCold(now + record.coldLeft);
+    }
+    m_record = std::move(record);
+}
+
 void BackendLink::changeShare(unsigned connections)
 {
     m_share = connections;
--- a/src/Pimentoward/Connection/BackendLink.h
+++ b/src/Pimentoward/Connection/BackendLink.h
@@ -2,6 +2,7 @@
 
 #include "Pimentoward/Connection/BackendConnection.h"
 #include "Pimentoward/Connection/BackendHealth.h"
+#include "Pimentoward/Connection/ColdLimit.h"
 #include "Pimentoward/Connection/ConcurrencyLimit.h"
 #include "Pimentoward/Version/BackendRecord.h"
 
@@ -20,10 +21,12 @@
     using RoomHook = std::function<void(BackendLink &)>;
     using DoneHook = BackendConnection::DoneHook;
 
-    BackendLink(event_base *loop, BackendRecord record, RoomHook onRoom);
+    BackendLink(event_base *loop, BackendRecord record, const ColdLimit::Settings &cold,
+                RoomHook onRoom);
 
     const BackendRecord &record() const { return m_record; }
-    void changeRecord(BackendRecord record) { m_record = std::move(record); }
+    /// Takes a newer record of the same run; how long it stays cold counts from `now`.
+    void changeRecord(BackendRecord record, SteadyTime now);
     BackendHealth &health() { return m_health; }
     const BackendHealth &health() const { return m_health; }
 
@@ -39,6 +42,9 @@
     void changeShare(unsigned connections);
     /// Requests that may be in flight at a time.
     ConcurrencyLimit &limit() { return m_limit; }
+    /// Requests that it may get while it is cold.
+    ColdLimit &coldLimit() { return m_coldLimit; }
+    const ColdLimit &coldLimit() const { return m_coldLimit; }
     /// True where one more request can be sent now.
     bool hasRoom() const;
     /// Sends a request; needs room. The handle serves cancel().
@@ -64,9 +70,12 @@
 
     event_base *m_loop;
     BackendRecord m_record;
+    /// As the last record said.
+    Duration m_coldLeft {};
     RoomHook m_onRoom;
     BackendHealth m_health;
     ConcurrencyLimit m_limit;
+    ColdLimit m_coldLimit;
     Connections m_connections;
     /// Connections that end once their own hook has returned.
     Connections m_ended;
--- a/src/Pimentoward/Discovery/DiscoveredRecords.cpp
+++ b/src/Pimentoward/Discovery/DiscoveredRecords.cpp
@@ -129,16 +129,17 @@
         m_unreadSettings.reset();
     }
     m_directory.expire(now);
-    const std::size_t members = m_members.count(now);
+    std::vector<MemberId> members = m_members.present(now);
     if (BackendListPtr list = m_directory.list(); list != m_publishedBackends) {
         m_publishedBackends = list;
         m_hooks.onBackends(std::move(list));
     }
     if (members != m_publishedMembers) {
         LOG4CPLUS_INFO(recordsLog(),
-                       "event=members count=" << members << " before=" << m_publishedMembers);
+                       "event=members count=" << members.size()
+                                              << " before=" << m_publishedMembers.size());
         m_publishedMembers = members;
-        m_hooks.onMembers(members);
+        m_hooks.onMembers(std::move(members));
     }
 }
 
--- a/src/Pimentoward/Discovery/DiscoveredRecords.h
+++ b/src/Pimentoward/Discovery/DiscoveredRecords.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace pimentoward {
 
@@ -30,7 +31,7 @@
     {
         std::function<void(RouteTablePtr)> onRoutes;
         std::function<void(BackendListPtr)> onBackends;
-        std::function<void(std::size_t)> onMembers;
+        std::function<void(std::vector<MemberId>)> onMembers;
         std::function<void(const FeedChooser::Member &)> onMember;
         std::function<void(const MemberId &)> onMemberGone;
     };
@@ -63,7 +64,7 @@
     std::optional<StoreItem> m_unreadSettings;
     RouteTablePtr m_routes;
     BackendListPtr m_publishedBackends;
-    std::size_t m_publishedMembers = 0;
+    std::vector<MemberId> m_publishedMembers;
 };
 
 } // namespace pimentoward
--- a/src/Pimentoward/Discovery/Discovery.h
+++ b/src/Pimentoward/Discovery/Discovery.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace pimentoward {
 
@@ -40,7 +41,7 @@
     {
         std::function<void(RouteTablePtr)> onRoutes;
         std::function<void(BackendListPtr)> onBackends;
-        std::function<void(std::size_t)> onMembers;
+        std::function<void(std::vector<MemberId>)> onMembers;
     };
 
     Discovery(event_base *loop, const Clock &clock, KeyValueStore &store, RecordCodec codec,
--- a/src/Pimentoward/Discovery/SharedMembers.cpp
+++ b/src/Pimentoward/Discovery/SharedMembers.cpp
@@ -25,13 +25,19 @@
     found->second = now;
 }
 
-std::size_t SharedMembers::count(SteadyTime now)
+std::vector<MemberId> SharedMembers::present(SteadyTime now)
 {
+    std::vector<MemberId> members;
     for (auto it = m_members.begin(); it != m_members.end();) {
         const bool isOver = it->second && *it->second + m_settings.countedAfter <= now;
-        it = isOver ? m_members.erase(it) : std::next(it);
+        if (isOver) {
+            it = m_members.erase(it);
+            continue;
+        }
+        members.push_back(it->first);
+        ++it;
     }
-    return m_members.size();
+    return members;
 }
 
 std::optional<SteadyTime> SharedMembers::nextChange() const
--- a/src/Pimentoward/Discovery/SharedMembers.h
+++ b/src/Pimentoward/Discovery/SharedMembers.h
@@ -2,9 +2,9 @@
 
 #include "Pimentoward/Core/Types.h"
 
-#include <cstddef>
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace pimentoward {
 
@@ -26,9 +26,9 @@
 
     void onPresent(const MemberId &member);
     void onVanished(const MemberId &member, SteadyTime now);
-    /// VMs that count at `now`, this one included.
-    std::size_t count(SteadyTime now);
-    /// When count() next falls.
+    /// VMs that count at `now`, this one included, in the order of their names.
+    std::vector<MemberId> present(SteadyTime now);
+    /// When one of present() next ceases to count.
     std::optional<SteadyTime> nextChange() const;
 
 private:
--- a/src/Pimentoward/Process/RendezvousHash.cpp
+++ b/src/Pimentoward/Process/RendezvousHash.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace pimentoward {
 
@@ -15,13 +16,6 @@
     const MemberId *id;
 };
 
-std::uint64_t weightOf(const MemberId &member, const BackendServerId &backendServer)
-{
-    // The server's hash seeds the member's, so that each pair gets an independent weight.
-    const std::uint64_t seed = XXH64(backendServer.data(), backendServer.size(), 0);
-    return XXH64(member.data(), member.size(), seed);
-}
-
 bool goesBefore(const Ranked &a, const Ranked &b)
 {
     if (a.preferred != b.preferred) {
@@ -35,6 +29,24 @@
 
 } // namespace
 
+std::uint64_t RendezvousHash::weight(const MemberId &member, const BackendServerId &backendServer)
+{
+    // The server's hash seeds the member's, so that each pair gets an independent weight.
+    const std::uint64_t seed = XXH64(backendServer.data(), backendServer.size(), 0);
+    return XXH64(member.data(), member.size(), seed);
+}
+
+std::size_t RendezvousHash::rank(const std::vector<MemberId> &members, const MemberId &member,
+                                 const BackendServerId &backendServer)
+{
+    const auto key = [&](const MemberId &id) {
+        return std::make_pair(weight(id, backendServer), id);
+    };
+    const auto own = key(member);
+    return static_cast<std::size_t>(std::count_if(
+        members.begin(), members.end(), [&](const MemberId &id) { return key(id) > own; }));
+}
+
 std::vector<MemberId> RendezvousHash::ranking(const std::vector<Candidate> &candidates,
                                               const BackendServerId &backendServer,
                                               const FailureDomain &preferred)
@@ -43,7 +55,7 @@
     ranked.reserve(candidates.size());
     for (const Candidate &candidate : candidates) {
         ranked.push_back({candidate.failureDomain == preferred,
-                          weightOf(candidate.id, backendServer), &candidate.id});
+                          weight(candidate.id, backendServer), &candidate.id});
     }
     std::sort(ranked.begin(), ranked.end(), goesBefore);
     std::vector<MemberId> result;
@@ -61,12 +73,12 @@
     const Candidate *best = nullptr;
     std::uint64_t bestWeight = 0;
     for (const Candidate &candidate : candidates) {
-        const std::uint64_t weight = weightOf(candidate.id, backendServer);
-        const Ranked challenger {candidate.failureDomain == preferred, weight, &candidate.id};
+        const std::uint64_t candidateWeight = weight(candidate.id, backendServer);
+        const Ranked challenger {candidate.failureDomain == preferred, candidateWeight, &candidate.id};
         if (best == nullptr
             || goesBefore(challenger, {best->failureDomain == preferred, bestWeight, &best->id})) {
             best = &candidate;
-            bestWeight = weight;
+            bestWeight = candidateWeight;
         }
     }
     return best == nullptr ? std::nullopt : std::optional(best->id);
--- a/src/Pimentoward/Process/RendezvousHash.h
+++ b/src/Pimentoward/Process/RendezvousHash.h
@@ -2,6 +2,7 @@
 
 #include "Pimentoward/Core/Types.h"
 
+#include <cstdint>
 #include <optional>
 #include <vector>
 
@@ -27,6 +28,12 @@
     static std::optional<MemberId> owner(const std::vector<Candidate> &candidates,
                                          const BackendServerId &backendServer,
                                          const FailureDomain &preferred);
+    /// How many of `members` come before `member` for `backendServer`, whatever their failure
+    /// domain. Equal on every VM that knows the same members.
+    static std::size_t rank(const std::vector<MemberId> &members, const MemberId &member,
+                            const BackendServerId &backendServer);
+    /// The weight of a pair; spread evenly over all values.
+    static std::uint64_t weight(const MemberId &member, const BackendServerId &backendServer);
 };
 
 } // namespace pimentoward
--- a/src/Pimentoward/Process/ServingTask.cpp
+++ b/src/Pimentoward/Process/ServingTask.cpp
@@ -107,9 +107,9 @@
     m_task.post([this, backends = std::move(backends)] { m_forwarder.changeBackends(backends); });
 }
 
-void ServingTask::postMembers(std::size_t members)
+void ServingTask::postMembers(std::vector<MemberId> members)
 {
-    m_task.post([this, members] { m_forwarder.changeMembers(members); });
+    m_task.post([this, members = std::move(members)] { m_forwarder.changeMembers(members); });
 }
 
 void ServingTask::postRetryBudget(const SharedRetryBudget::Settings &settings)
--- a/src/Pimentoward/Process/ServingTask.h
+++ b/src/Pimentoward/Process/ServingTask.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace pimentoward {
 
@@ -41,7 +42,7 @@
 
     void postRoutes(RouteTablePtr routes);
     void postBackends(BackendListPtr backends);
-    void postMembers(std::size_t members);
+    void postMembers(std::vector<MemberId> members);
     void postRetryBudget(const SharedRetryBudget::Settings &settings);
     /// Not ready any more; each connection of a caller ends after its next reply.
     void postNotReady();
--- a/src/Pimentoward/Request/Forwarder.cpp
+++ b/src/Pimentoward/Request/Forwarder.cpp
@@ -17,6 +17,8 @@
 constexpr Duration shortestTimeLeft = std::chrono::milliseconds(1);
 /// How often replies that nobody waits for any more are looked through.
 constexpr std::chrono::milliseconds sweepPeriod {50};
+/// How soon a part that waits for a cold backend server is looked at again.
+constexpr std::chrono::milliseconds coldRetryPeriod {50};
 
 double ratioOf(Duration time, Duration usual)
 {
@@ -42,6 +44,7 @@
                  SteadyTime now) { return choose(service, avoid, purpose, now); },
           [this](const ServiceName &service, SteadyTime now) { return takeExtra(service, now); }}
     , m_roomTimer(loop, [this] { serveWaiting(); })
+    , m_coldTimer(loop, [this] { serveWaiting(); })
     , m_sweepTimer(loop, [this] { sweep(); })
 { }
 
@@ -59,9 +62,9 @@
     updateFleet();
 }
 
-void Forwarder::changeMembers(std::size_t members)
+void Forwarder::changeMembers(std::vector<MemberId> members)
 {
-    m_members = members;
+    m_members = std::move(members);
     updateFleet();
 }
 
@@ -201,6 +204,7 @@
     exchange.request = &request;
     exchange.attempt = send.attempt;
     exchange.link = link;
+    link->coldLimit().onSent(now);
     exchange.healthNumber = link->health().onSent(now, request.hedgeDelay);
     exchange.sentAt = now;
     exchange.usualTime = request.usualTime;
@@ -369,8 +373,14 @@
         if (isAvoided || link->isMisdirected()) {
             continue;
         }
+        const bool isTooCold = m_settings.checks.coldLimit && !link->coldLimit().allows(now);
+        if (isTooCold) {
+            m_hasRoom.insert(service);
+            m_coldTimer.startOnce(coldRetryPeriod);
+        }
         candidates.push_back({&id, link->record().failureDomain == m_settings.failureDomain,
-                              link->isPreferred(), link->hasRoom(), link->health().isSuspect(now),
+                              link->isPreferred(), link->hasRoom() && !isTooCold,
+                              link->health().isSuspect(now),
                               link->health().expectedSlowness(now)});
     }
     return m_chooser.choose(candidates, purpose);
@@ -383,7 +393,7 @@
 
 bool Forwarder::takeExtra(const ServiceName &service, SteadyTime now)
 {
-    return budget(service).take(now, m_members);
+    return budget(service).take(now, std::max<std::size_t>(1, m_members.size()));
 }
 
 } // namespace pimentoward
--- a/src/Pimentoward/Request/Forwarder.h
+++ b/src/Pimentoward/Request/Forwarder.h
@@ -34,6 +34,8 @@
     bool misdirected = true;
     /// Backend servers out of service get nothing new.
     bool outOfService = true;
+    /// Cold backend servers get no more than they bear.
+    bool coldLimit = true;
 };
 
 /// What a Forwarder is built from.
@@ -74,7 +76,7 @@
     void changeRoutes(RouteTablePtr routes);
     void changeBackends(BackendListPtr backends);
     /// VMs that share what backend servers and services bear, this one included.
-    void changeMembers(std::size_t members);
+    void changeMembers(std::vector<MemberId> members);
     void changeRetryBudget(const SharedRetryBudget::Settings &settings);
 
     void onRequest(CallerConnection &caller, CallerConnection::Arrival arrival);
@@ -132,7 +134,7 @@
     RequestReport m_report;
     RouteTablePtr m_routes;
     BackendListPtr m_backends;
-    std::size_t m_members = 1;
+    std::vector<MemberId> m_members;
     BackendFleet m_fleet;
     BackendChooser m_chooser;
     AnswerTiming m_timing;
@@ -145,6 +147,8 @@
     UrgencyQueue<ActiveRequest> m_waiting;
     std::set<ServiceName> m_hasRoom;
     Timer m_roomTimer;
+    /// Looks again where a cold backend server could get no more for the moment.
+    Timer m_coldTimer;
     Timer m_sweepTimer;
     /// Requests that have ended; destroyed from the loop, since their own timer may be running.
     std::vector<std::unique_ptr<ActiveRequest>> m_ended;
--- a/standins/Site.cpp
+++ b/standins/Site.cpp
@@ -22,9 +22,12 @@
             {"maxAttempts", 2}};
 }
 
-Json serviceDocument(const std::string &name)
+Json serviceDocument(const std::string &name, double coldRequestsPerSecond)
 {
-    return {{"name", name}, {"maxConns", connectionsOfServer}, {"healthPath", "/health"}};
+    return {{"name", name},
+            {"maxConns", connectionsOfServer},
+            {"healthPath", "/health"},
+            {"coldPerS", coldRequestsPerSecond}};
 }
 
 } // namespace
@@ -85,7 +88,7 @@
 }
 
 void Site::registerServer(const ShardServer &server, const std::string &domain,
-                          const std::string &state)
+                          const std::string &state, std::chrono::milliseconds coldLeft)
 {
     const Json record = {{"service", server.settings().service},
                          {"address", server.address().toString()},
@@ -93,7 +96,7 @@
                          {"version", "v1"},
                          {"maxConcurrency", server.settings().slots},
                          {"state", state},
-                         {"coldLeftMs", 0},
+                         {"coldLeftMs", coldLeft.count()},
                          {"born", 1},
                          {"sequence", 1}};
     m_store.put(platform::wire::backendPrefix + server.settings().id, record.dump());
@@ -105,9 +108,9 @@
     Json services = Json::array();
     for (std::size_t index = 0; index < m_settings.shards; ++index) {
         shards.push_back(shardName(index));
-        services.push_back(serviceDocument(shardName(index)));
+        services.push_back(serviceDocument(shardName(index), m_settings.coldRequestsPerSecond));
     }
-    services.push_back(serviceDocument(singleService));
+    services.push_back(serviceDocument(singleService, m_settings.coldRequestsPerSecond));
     Json all = routeDocument(m_settings.host, "/all/", "idempotent");
     all["fanout"] = shards;
     all["topK"] = 8;
--- a/standins/Site.h
+++ b/standins/Site.h
@@ -30,6 +30,8 @@
         /// Backend servers of the service that answers alone.
         std::size_t singles = 3;
         std::chrono::milliseconds workTime {5};
+        /// Requests in a second that a cold backend server bears; 0 for no bound.
+        double coldRequestsPerSecond = 0;
         /// Changes each route of the settings document before it is written.
         std::function<void(nlohmann::json &route)> adjustRoute = [](nlohmann::json &) {};
     };
@@ -44,9 +46,10 @@
     /// Starts another backend server and registers it; null where its address cannot be bound.
     ShardServer *addServer(const std::string &service, const std::string &id,
                            const std::string &domain, Reason &reason);
-    /// Writes the record of a backend server.
+    /// Writes the record of a backend server, which stays cold for `coldLeft`.
     void registerServer(const ShardServer &server, const std::string &domain,
-                        const std::string &state);
+                        const std::string &state,
+                        std::chrono::milliseconds coldLeft = std::chrono::milliseconds(0));
     /// Writes the settings with the next version; `change` may alter the document.
     void writeSettings(const std::function<void(nlohmann::json &)> &change = nullptr);
 
--- a/tests/Connection/BackendFleetTest.cpp
+++ b/tests/Connection/BackendFleetTest.cpp
@@ -42,6 +42,15 @@
         CallerLimits());
 }
 
+std::vector<MemberId> vmNames(std::size_t count)
+{
+    std::vector<MemberId> names;
+    for (std::size_t vm = 0; vm < count; ++vm) {
+        names.push_back("vm-" + std::to_string(vm));
+    }
+    return names;
+}
+
 /// VMs that prefer each of three replicas, one in each failure domain, of a shard.
 std::map<BackendServerId, unsigned> preferredBy(std::size_t vms, unsigned connections)
 {
@@ -53,7 +62,7 @@
         settings.failureDomain = std::string(1, static_cast<char>('a' + vm % 3));
         settings.self = "vm-" + std::to_string(vm);
         BackendFleet fleet(loop.get(), settings, [](BackendLink &) {});
-        fleet.update(list, routesWith(connections), vms);
+        fleet.update(list, routesWith(connections), vmNames(vms));
         std::size_t preferred = 0;
         for (const BackendLink *link : fleet.linksOf("shard")) {
             if (!link->isPreferred()) {
@@ -92,14 +101,14 @@
     const LoopPtr loop(newPreciseLoop(), &event_base_free);
     BackendFleet fleet(loop.get(), {}, [](BackendLink &) {});
     BackendRecord first = record("1", "a");
-    fleet.update(listOf({first}), routesWith(31), 1);
+    fleet.update(listOf({first}), routesWith(31), vmNames(1));
     const BackendLink *before = fleet.link("1");
-    fleet.update(listOf({first}), routesWith(31), 2);
+    fleet.update(listOf({first}), routesWith(31), vmNames(2));
     CHECK(fleet.link("1") == before);
     first.incarnation = 7;
-    fleet.update(listOf({first}), routesWith(31), 2);
+    fleet.update(listOf({first}), routesWith(31), vmNames(2));
     CHECK(fleet.link("1") != before);
-    fleet.update(listOf({record("2", "a")}), routesWith(31), 2);
+    fleet.update(listOf({record("2", "a")}), routesWith(31), vmNames(2));
     CHECK(fleet.link("1") == nullptr);
     fleet.removeEnded();
     CHECK(fleet.size() == 1);
--- a/tests/Process/TierRulesTest.cpp
+++ b/tests/Process/TierRulesTest.cpp
@@ -277,6 +277,48 @@
     CHECK(server.arrivals() > before);
 }
 
+TEST_CASE("FAILBACK: a cold backend server gets no more in a second than it bears", "[rules]")
+{
+    const bool isOn = GENERATE(true, false);
+    constexpr double perSecond = 4;
+    constexpr double ratio = 1.5;
+    constexpr double slack = 2;
+    TierWorld::Settings settings;
+    settings.vms = 2;
+    settings.site.coldRequestsPerSecond = perSecond;
+    settings.adjust = [=](ServingTaskSettings &serving) {
+        serving.forwarder.fleet.cold.ratio = ratio;
+        serving.forwarder.fleet.cold.fixedForAll = slack;
+        serving.forwarder.checks.coldLimit = isOn;
+    };
+    TierWorld world(settings);
+    REQUIRE(world.waitUntilKnown());
+    ShardServer &cold = *world.site().servers("single").front();
+    world.site().registerServer(cold, "a", "ready", 10s);
+    world.run(500ms);
+    const std::size_t before = cold.runs().size();
+    for (int index = 0; index < 200; ++index) {
+        world.send(request("/one/x", static_cast<std::size_t>(index % 2)));
+        world.run(10ms);
+    }
+    world.runUntilEnded();
+    std::size_t most = 0;
+    for (std::size_t first = before; first < cold.runs().size(); ++first) {
+        std::size_t count = 0;
+        while (first + count < cold.runs().size()
+               && cold.runs()[first + count].started < cold.runs()[first].started + 1s) {
+            ++count;
+        }
+        most = std::max(most, count);
+    }
+    CHECK((static_cast<double>(most) <= perSecond * ratio + slack) == isOn);
+    // It is used within its bound, and nothing is refused for it.
+    CHECK(most > 0);
+    for (const TierWorld::Outcome &outcome : world.outcomes()) {
+        CHECK(outcome.status == 200);
+    }
+}
+
 TEST_CASE("ROUTE: an address that another service has taken over runs nothing of the former one",
           "[rules]")
 {
--- a/tests/Request/DirectDecisionsTest.cpp
+++ b/tests/Request/DirectDecisionsTest.cpp
@@ -101,14 +101,14 @@
     SharedMembers members("self", {});
     members.onPresent("b");
     members.onPresent("c");
-    CHECK(members.count(start) == 3);
+    CHECK(members.present(start).size() == 3);
     members.onVanished("b", start);
     members.onVanished("self", start);
-    CHECK(members.count(start + 11s) == 3);
+    CHECK(members.present(start + 11s).size() == 3);
     REQUIRE(members.nextChange().has_value());
-    CHECK(members.count(*members.nextChange()) == 2);
+    CHECK(members.present(*members.nextChange()).size() == 2);
     members.onPresent("b");
-    CHECK(members.count(start + 20s) == 3);
+    CHECK(members.present(start + 20s).size() == 3);
 }
 
 TEST_CASE("A backend server with an overdue request is suspect until it answers")
--- a/tests/support/TierWorld.cpp
+++ b/tests/support/TierWorld.cpp
@@ -32,7 +32,8 @@
     return {"127.0.0.1", ntohs(local.sin_port)};
 }
 
-ServingTaskSettings servingSettings(const std::string &domain, const TierNode::Adjust &adjust)
+ServingTaskSettings servingSettings(const std::string &name, const std::string &domain,
+                                    const TierNode::Adjust &adjust)
 {
     ServingTaskSettings settings;
     settings.callerListen = freeAddress();
@@ -40,6 +41,8 @@
     settings.readyPath = platform::wire::readyPath;
     settings.forwarder.headers = platform::wire::forwardHeaders();
     settings.forwarder.failureDomain = domain;
+    settings.forwarder.fleet.failureDomain = domain;
+    settings.forwarder.fleet.self = name;
     adjust(settings);
     return settings;
 }
@@ -64,7 +67,7 @@
 TierNode::TierNode(event_base *loop, const std::string &name, const std::string &domain,
                    const Address &store, const Adjust &adjust,
                    const AdjustDiscovery &adjustDiscovery)
-    : m_settings(servingSettings(domain, adjust))
+    : m_settings(servingSettings(name, domain, adjust))
     , m_serving(std::make_unique<ServingTask>(m_settings))
     , m_store(loop, store)
     , m_discovery(loop, m_clock, m_store, platform::recordCodec(),
@@ -77,8 +80,8 @@
                        m_backends = list->size;
                        m_serving->postBackends(list);
                    },
-                   [this](std::size_t members) {
-                       m_members = members;
+                   [this](const std::vector<MemberId> &members) {
+                       m_members = members.size();
                        m_serving->postMembers(members);
                    }})
 {
