A changed settings file is taken over while it runs; each rule case also runs with its mechanism off

Cause: of a changed file only the retry bounds were taken over; four rule cases had no run with the mechanism off, and DENIED had no case. Change: bounds of cold backend servers, times of the planned stop and the store's address follow the file (calls that run end where they are); a line says when a field needs a restart. Switches for tests: time left, answer at the route's time, settings only forward, nothing denied before settings are known. Found on the way: the case for the time left looked at the caller's whole time only and would have passed with the mechanism off; it now sends again after 150 ms and looks at each run.

--- a/src/Pimentoward/Connection/BackendFleet.cpp
+++ b/src/Pimentoward/Connection/BackendFleet.cpp
@@ -37,6 +37,14 @@
     return std::clamp(share, 1U, std::max(1U, m_settings.connectionsPerSlot * record.slots));
 }
 
+void BackendFleet::changeColdSettings(const ColdLimit::Settings &settings)
+{
+    m_settings.cold = settings;
+    for (const auto &[id, link] : m_links) {
+        link->coldLimit().changeSettings(settings);
+    }
+}
+
 void BackendFleet::shareCold(BackendLink &link, const RouteTable &routes,
                              const std::vector<MemberId> &members) const
 {
--- a/src/Pimentoward/Connection/BackendFleet.h
+++ b/src/Pimentoward/Connection/BackendFleet.h
@@ -44,6 +44,8 @@
     /// `members` are the VMs that share what backend servers bear, this one included.
     void update(const BackendListPtr &list, const RouteTablePtr &routes,
                 const std::vector<MemberId> &members);
+    /// Takes other bounds for cold backend servers; in force with the next update().
+    void changeColdSettings(const ColdLimit::Settings &settings);
     /// Links to the backend servers of `service`.
     const std::vector<BackendLink *> &linksOf(const ServiceName &service) const;
     /// The link to one backend server in service; null where there is none.
--- a/src/Pimentoward/Connection/ColdLimit.h
+++ b/src/Pimentoward/Connection/ColdLimit.h
@@ -34,6 +34,8 @@
     ColdLimit();
     explicit ColdLimit(const Settings &settings);
 
+    /// Takes other bounds; in force with the next changeShare().
+    void changeSettings(const Settings &settings) { m_settings = settings; }
     /// The backend server is cold until `until`.
     void changeCold(SteadyTime until) { m_coldUntil = until; }
     /// `perSecond`: what a cold one bears from all VMs, 0 for no bound; `rank`: this VM's place
--- a/src/Pimentoward/Connection/HttpClient.h
+++ b/src/Pimentoward/Connection/HttpClient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Pimentoward/Connection/HttpConnection.h"
+#include "Pimentoward/Process/Timer.h"
 
 #include <memory>
 #include <vector>
@@ -17,13 +18,22 @@
 
     /// Sends one call on a connection that is free, or on a new one.
     void send(const HttpCall &call, HttpConnection::DoneHook done);
+    /// Calls from now on go to `address`; those that run end where they are.
+    void changeAddress(const Address &address);
     /// Calls sent so far.
     std::uint64_t calls() const { return m_calls; }
 
 private:
+    using Connections = std::vector<std::unique_ptr<HttpConnection>>;
+
+    void removeFormer();
+
     event_base *m_loop;
     Address m_address;
-    std::vector<std::unique_ptr<HttpConnection>> m_connections;
+    Connections m_connections;
+    /// Connections to addresses before; kept until their calls have ended.
+    Connections m_former;
+    Timer m_formerTimer;
     std::uint64_t m_calls = 0;
 };
 
--- a/src/Pimentoward/Discovery/DiscoveredRecords.cpp
+++ b/src/Pimentoward/Discovery/DiscoveredRecords.cpp
@@ -28,6 +28,7 @@
 
 DiscoveredRecords::DiscoveredRecords(RecordCodec codec, const Settings &settings, Hooks hooks)
     : m_codec(std::move(codec))
+    , m_onlyForward(settings.onlyForward)
     , m_hooks(std::move(hooks))
     , m_directory(settings.directory)
     , m_members(settings.self, settings.members)
@@ -94,7 +95,7 @@
                                                               << reason.text << '"');
         return;
     }
-    if (m_routes && routes->version() <= current) {
+    if (m_onlyForward && m_routes && routes->version() <= current) {
         LOG4CPLUS_WARN(recordsLog(),
                        "event=settings-older settings=" << current
                                                         << " offered=" << routes->version());
--- a/src/Pimentoward/Discovery/DiscoveredRecords.h
+++ b/src/Pimentoward/Discovery/DiscoveredRecords.h
@@ -24,6 +24,8 @@
         MemberId self;
         BackendDirectory::Settings directory;
         SharedMembers::Settings members;
+        /// Off in tests only: takes whatever version was written last.
+        bool onlyForward = true;
     };
 
     /// Each is told only after a change.
@@ -57,6 +59,7 @@
     void takeRoutes(const StoreItem &item);
 
     RecordCodec m_codec;
+    bool m_onlyForward;
     Hooks m_hooks;
     BackendDirectory m_directory;
     SharedMembers m_members;
--- a/src/Pimentoward/Discovery/Discovery.h
+++ b/src/Pimentoward/Discovery/Discovery.h
@@ -34,6 +34,8 @@
         Registration::Settings registration;
         BackendDirectory::Settings directory;
         SharedMembers::Settings members;
+        /// Off in tests only: takes whatever version of the settings was written last.
+        bool onlyForward = true;
     };
 
     /// Each is told only after a change.
--- a/src/Pimentoward/Process/Drain.cpp
+++ b/src/Pimentoward/Process/Drain.cpp
@@ -6,6 +6,13 @@
     : m_settings(settings)
 { }
 
+void Drain::changeSettings(const Settings &settings)
+{
+    if (m_phase == Phase::Serving) {
+        m_settings = settings;
+    }
+}
+
 Drain::Actions Drain::onStopSignal(SteadyTime now)
 {
     if (m_phase == Phase::Exited) {
--- a/src/Pimentoward/Process/Drain.h
+++ b/src/Pimentoward/Process/Drain.h
@@ -49,6 +49,8 @@
 
     explicit Drain(const Settings &settings);
 
+    /// Takes other times; no effect once a stop has been asked for.
+    void changeSettings(const Settings &settings);
     /// A stop is asked for; a second time it means "at once".
     Actions onStopSignal(SteadyTime now);
     /// All backend servers have other owners.
--- a/src/Pimentoward/Process/ServingTask.cpp
+++ b/src/Pimentoward/Process/ServingTask.cpp
@@ -112,9 +112,10 @@
     m_task.post([this, members = std::move(members)] { m_forwarder.changeMembers(members); });
 }
 
-void ServingTask::postRetryBudget(const SharedRetryBudget::Settings &settings)
+void ServingTask::postSharedLimits(const SharedRetryBudget::Settings &retries,
+                                   const ColdLimit::Settings &cold)
 {
-    m_task.post([this, settings] { m_forwarder.changeRetryBudget(settings); });
+    m_task.post([this, retries, cold] { m_forwarder.changeSharedLimits(retries, cold); });
 }
 
 void ServingTask::postNotReady()
--- a/src/Pimentoward/Process/ServingTask.h
+++ b/src/Pimentoward/Process/ServingTask.h
@@ -43,7 +43,8 @@
     void postRoutes(RouteTablePtr routes);
     void postBackends(BackendListPtr backends);
     void postMembers(std::vector<MemberId> members);
-    void postRetryBudget(const SharedRetryBudget::Settings &settings);
+    void postSharedLimits(const SharedRetryBudget::Settings &retries,
+                          const ColdLimit::Settings &cold);
     /// Not ready any more; each connection of a caller ends after its next reply.
     void postNotReady();
     /// Ends connections of callers on which no request runs.
--- a/src/Pimentoward/Process/TierProcess.cpp
+++ b/src/Pimentoward/Process/TierProcess.cpp
@@ -48,6 +48,13 @@
     m_serving.stop();
 }
 
+void TierProcess::changeSettings(const Settings &settings)
+{
+    const ForwarderSettings &forwarder = settings.serving.forwarder;
+    m_serving.postSharedLimits(forwarder.retryBudget, forwarder.fleet.cold);
+    m_drain.changeSettings(settings.drain);
+}
+
 void TierProcess::onSignal(int signal)
 {
     if (signal == SIGHUP) {
--- a/src/Pimentoward/Process/TierProcess.h
+++ b/src/Pimentoward/Process/TierProcess.h
@@ -35,7 +35,11 @@
     bool listen(Reason &reason) { return m_serving.listen(reason) && m_discovery.listen(reason); }
     /// Serves until a planned stop has ended.
     void serve();
-    ServingTask &serving() { return m_serving; }
+    /// Takes over what can change while it runs: bounds of shared limits and times of the planned
+    /// stop. Runs on the main loop, as the reload hook does.
+    void changeSettings(const Settings &settings);
+    /// Runs `hook` on the task that uses the store's client.
+    void postDiscovery(std::function<void()> hook) { m_discoveryTask.post(std::move(hook)); }
 
 private:
     void onSignal(int signal);
--- a/src/Pimentoward/Request/AnswerTiming.cpp
+++ b/src/Pimentoward/Request/AnswerTiming.cpp
@@ -18,7 +18,8 @@
         = request.isFirstOnConnection ? m_settings.wayHereWithOpening : m_settings.wayHere;
     // A caller that asks again has less time left than the route gives.
     const Duration before = std::max(Duration::zero(), request.timeout - request.timeLeft);
-    const Duration total = std::min(request.timeLeft - onWay, request.timeout);
+    const Duration longest = m_settings.endsAtTimeout ? request.timeout : Duration::max();
+    const Duration total = std::min(request.timeLeft - onWay, longest);
     Moments moments;
     moments.deadline
         = request.readAt + std::max(total - m_settings.lastWordMargin, m_settings.shortest);
--- a/src/Pimentoward/Request/AnswerTiming.h
+++ b/src/Pimentoward/Request/AnswerTiming.h
@@ -26,6 +26,8 @@
         /// A caller that asks again with less than this share of the objective left gets the whole
         /// objective anew: its first try was refused, or is late already.
         double askedAgainShare = 0.4;
+        /// Off in tests only: a request goes on until its caller leaves.
+        bool endsAtTimeout = true;
         /// Shortest time that a request gets, however late it comes.
         Duration shortest = std::chrono::milliseconds(5);
     };
--- a/src/Pimentoward/Request/Forwarder.cpp
+++ b/src/Pimentoward/Request/Forwarder.cpp
@@ -68,12 +68,15 @@
     updateFleet();
 }
 
-void Forwarder::changeRetryBudget(const SharedRetryBudget::Settings &settings)
+void Forwarder::changeSharedLimits(const SharedRetryBudget::Settings &retries,
+                                   const ColdLimit::Settings &cold)
 {
-    m_settings.retryBudget = settings;
+    m_settings.retryBudget = retries;
     for (auto &[service, budget] : m_budgets) {
-        budget.update(settings);
+        budget.update(retries);
     }
+    m_fleet.changeColdSettings(cold);
+    updateFleet();
 }
 
 void Forwarder::updateFleet()
@@ -95,11 +98,12 @@
 {
     const HttpHeaders &headers = arrival.request.headers;
     const RequestId id(headers.value(m_settings.headers.requestId));
-    if (!canServe()) {
+    if (!canServe() && m_settings.checks.settingsFirst) {
         refuse(caller, id, statusUnavailable, "no settings or backend servers known yet");
         return;
     }
-    const Route *route = m_routes->find(headers.value("Host"), arrival.request.target);
+    const Route *route
+        = m_routes ? m_routes->find(headers.value("Host"), arrival.request.target) : nullptr;
     if (route == nullptr) {
         refuse(caller, id, statusNotFound, "no route");
         return;
@@ -213,7 +217,8 @@
     m_exchanges.push_back(std::move(exchange));
     const auto position = std::prev(m_exchanges.end());
     BackendConnection::Exchange message;
-    const Duration left = std::max(request.deadline - now, shortestTimeLeft);
+    const SteadyTime from = m_settings.checks.timeLeft ? now : request.readAt;
+    const Duration left = std::max(request.deadline - from, shortestTimeLeft);
     const BackendServerId named = m_settings.checks.expectedBackend ? send.to : BackendServerId();
     message.bytes = m_messages.request(request.head, request.method, request.body, named, left);
     message.method = request.method;
--- a/src/Pimentoward/Request/Forwarder.h
+++ b/src/Pimentoward/Request/Forwarder.h
@@ -36,6 +36,10 @@
     bool outOfService = true;
     /// Cold backend servers get no more than they bear.
     bool coldLimit = true;
+    /// Backend servers are told what is left of the caller's time, not what it was.
+    bool timeLeft = true;
+    /// Nothing is denied before settings are known.
+    bool settingsFirst = true;
 };
 
 /// What a Forwarder is built from.
@@ -77,7 +81,9 @@
     void changeBackends(BackendListPtr backends);
     /// VMs that share what backend servers and services bear, this one included.
     void changeMembers(std::vector<MemberId> members);
-    void changeRetryBudget(const SharedRetryBudget::Settings &settings);
+    /// Takes other bounds of what all VMs share.
+    void changeSharedLimits(const SharedRetryBudget::Settings &retries,
+                            const ColdLimit::Settings &cold);
 
     void onRequest(CallerConnection &caller, CallerConnection::Arrival arrival);
     void onCallerGone(CallerConnection &caller);
--- /dev/null
+++ b/tests/Connection/HttpClientTest.cpp
@@ -0,0 +1,63 @@
+#include "Pimentoward/Connection/HttpClient.h"
+
+#include "Pimentoward/Process/PreciseLoop.h"
+#include "tests/support/ScriptedServer.h"
+
+#include <catch2/catch.hpp>
+#include <event2/event.h>
+
+using namespace pimentoward;
+using namespace std::chrono_literals;
+
+namespace {
+
+using LoopPtr = std::unique_ptr<event_base, decltype(&event_base_free)>;
+
+/// Answers each request with `body`.
+ScriptedServer::Script answering(const std::string &body)
+{
+    return [body](ScriptedServer::Peer &peer) {
+        if (peer.received.find("\r\n\r\n") != std::string::npos) {
+            peer.received.clear();
+            peer.write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size())
+                       + "\r\n\r\n" + body);
+        }
+    };
+}
+
+HttpCall get()
+{
+    HttpCall call;
+    call.method = "GET";
+    call.target = "/";
+    call.timeout = 2s;
+    return call;
+}
+
+} // namespace
+
+TEST_CASE("Calls go to a changed address, and those that run end where they are")
+{
+    const LoopPtr loop(newPreciseLoop(), &event_base_free);
+    std::vector<ScriptedServer::Peer *> held;
+    ScriptedServer first(loop.get(), [&held](ScriptedServer::Peer &peer) { held.push_back(&peer); });
+    ScriptedServer second(loop.get(), answering("second"));
+    HttpClient client(loop.get(), first.address());
+    std::vector<std::string> answers;
+    const auto done = [&answers](const std::optional<HttpAnswer> &answer, const Reason &) {
+        answers.push_back(answer ? answer->body : "failed");
+    };
+    client.send(get(), done);
+    runLoop(loop.get(), 1s, [&held] { return !held.empty(); });
+    client.changeAddress(second.address());
+    client.send(get(), done);
+    runLoop(loop.get(), 1s, [&answers] { return answers.size() == 1; });
+    held.front()->write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst");
+    runLoop(loop.get(), 1s, [&answers] { return answers.size() == 2; });
+    CHECK(answers == std::vector<std::string> {"second", "first"});
+    // What is left of the former address goes away by itself.
+    runLoop(loop.get(), 700ms);
+    client.send(get(), done);
+    runLoop(loop.get(), 1s, [&answers] { return answers.size() == 3; });
+    CHECK(answers.back() == "second");
+}
--- a/tests/Process/DrainTest.cpp
+++ b/tests/Process/DrainTest.cpp
@@ -60,6 +60,20 @@
     CHECK(timeToExit(hasty) < milliseconds(5000));
 }
 
+TEST_CASE("Times that change count for a stop that has not begun, and for no other")
+{
+    Drain::Settings longer;
+    longer.readinessDelay = milliseconds(3000);
+    Drain before({});
+    before.changeSettings(longer);
+    before.onStopSignal(startTime);
+    CHECK(before.tick(startTime + milliseconds(2500)).empty());
+    Drain during({});
+    during.onStopSignal(startTime);
+    during.changeSettings(longer);
+    CHECK(has<Drain::Leave>(during.tick(startTime + milliseconds(2500))));
+}
+
 TEST_CASE("A planned stop ends at its limit, and at once on a second signal")
 {
     Drain::Settings shortLimit;
--- a/tests/Process/TierRulesTest.cpp
+++ b/tests/Process/TierRulesTest.cpp
@@ -192,21 +192,37 @@
 
 TEST_CASE("BUDGET: backend servers are handed no more time than is left", "[rules]")
 {
-    TierWorld world({});
+    const bool isOn = GENERATE(true, false);
+    TierWorld::Settings settings;
+    // Enough of them, and few requests, so that none waits in a queue before it runs.
+    settings.site.singles = 6;
+    settings.adjust
+        = [isOn](ServingTaskSettings &serving) { serving.forwarder.checks.timeLeft = isOn; };
+    TierWorld world(settings);
     REQUIRE(world.waitUntilKnown());
-    addFaults(world, {Fault::Shed}, 0.3);
-    for (int index = 0; index < 20; ++index) {
-        TierWorld::Request sent = request("/all/x");
-        sent.timeLeft = 400ms;
-        world.send(sent);
-        world.run(5ms);
+    // Replies are lost after a while; what is sent again has that much less time.
+    addFaults(world, {Fault::LostReply}, 0.5);
+    for (ShardServer *server : world.site().allServers()) {
+        server->changeWorkTime(150ms);
+    }
+    constexpr std::chrono::milliseconds given {600};
+    std::map<std::string, SteadyTime> sentAt;
+    for (int index = 0; index < 12; ++index) {
+        TierWorld::Request sent = request("/one/x");
+        sent.timeLeft = given;
+        const SteadyTime now = std::chrono::steady_clock::now();
+        sentAt[world.send(sent).requestId] = now;
+        world.run(80ms);
     }
     world.runUntilEnded();
+    bool isKept = true;
     for (const ShardServer *server : world.site().allServers()) {
         for (const ShardServer::Run &run : server->runs()) {
-            CHECK(run.timeLeft <= 400ms);
+            const SteadyTime until = run.started + run.timeLeft;
+            isKept = isKept && until <= sentAt.at(run.requestId) + given + 50ms;
         }
     }
+    CHECK(isKept == isOn);
 }
 
 TEST_CASE("GONE: work for a caller that has left ends within half a second", "[rules]")
@@ -370,7 +386,12 @@
 
 TEST_CASE("CONFIG: a request that outlasts its route's time is answered then", "[rules]")
 {
-    TierWorld world({});
+    const bool isOn = GENERATE(true, false);
+    TierWorld::Settings settings;
+    settings.adjust = [isOn](ServingTaskSettings &serving) {
+        serving.forwarder.timing.endsAtTimeout = isOn;
+    };
+    TierWorld world(settings);
     REQUIRE(world.waitUntilKnown());
     for (ShardServer *server : world.site().allServers()) {
         server->changeFault([](const HttpRequestMessage &) { return Fault::Mute; });
@@ -378,8 +399,8 @@
     TierWorld::Request sent = request("/one/x");
     sent.timeLeft = 3s;
     const TierWorld::Outcome outcome = world.ask(sent);
+    CHECK((outcome.took <= 1200ms) == isOn);
     CHECK(outcome.status == 504);
-    CHECK(outcome.took <= 1200ms);
 }
 
 TEST_CASE("LOST: a stopping VM answers what it has read and still takes what comes", "[rules]")
--- a/tests/Process/TierStoreTest.cpp
+++ b/tests/Process/TierStoreTest.cpp
@@ -23,8 +23,11 @@
 
 TEST_CASE("CONFIG: a new version is in force everywhere at once and never goes back", "[rules]")
 {
+    const bool isOn = GENERATE(true, false);
     TierWorld::Settings settings;
     settings.vms = 2;
+    settings.adjustDiscovery
+        = [isOn](Discovery::Settings &discovery) { discovery.onlyForward = isOn; };
     TierWorld world(settings);
     REQUIRE(world.waitUntilKnown());
     CHECK(world.ask(request("/added/x")).status == 404);
@@ -45,9 +48,48 @@
     world.store().put(platform::wire::settingsKey, "{\"version\":");
     world.run(400ms);
     for (std::size_t vm = 0; vm < 2; ++vm) {
-        CHECK(world.vm(vm).settingsVersion() == 2);
-        CHECK(world.ask(request("/added/x", vm)).status == 200);
+        CHECK((world.vm(vm).settingsVersion() == 2) == isOn);
+        CHECK((world.ask(request("/added/x", vm)).status == 200) == isOn);
+    }
+}
+
+TEST_CASE("DENIED: what all settings allow is never denied, through starts and many versions",
+          "[rules]")
+{
+    const bool isOn = GENERATE(true, false);
+    TierWorld::Settings settings;
+    settings.vms = 2;
+    settings.adjust
+        = [isOn](ServingTaskSettings &serving) { serving.forwarder.checks.settingsFirst = isOn; };
+    TierWorld world(settings);
+    REQUIRE(world.waitUntilKnown());
+    // One VM starts anew while the store is away, the other gets a version each few milliseconds.
+    world.stopVm(1);
+    world.store().changeMode(KeyValueServer::Mode::Down);
+    world.startVm(1);
+    for (int index = 0; index < 60; ++index) {
+        if (index == 20) {
+            world.store().changeMode(KeyValueServer::Mode::Up);
+        }
+        if (index >= 20) {
+            world.site().writeSettings([index](nlohmann::json &document) {
+                nlohmann::json longer = document["routes"][1];
+                longer["pathPrefix"] = "/one/" + std::to_string(index) + "/";
+                longer["name"] = "longer";
+                document["routes"].push_back(longer);
+            });
+        }
+        const std::string paths[] = {"/one/x", "/one/41/y?a=b", "/all/%2F", "/once/"};
+        world.send(request(paths[index % 4], static_cast<std::size_t>(index % 2)));
+        world.run(20ms);
+    }
+    world.runUntilEnded();
+    std::size_t denied = 0;
+    for (const TierWorld::Outcome &outcome : world.outcomes()) {
+        const bool isAllowed = outcome.status == 200 || outcome.status == 503;
+        denied += isAllowed ? 0 : 1;
     }
+    CHECK((denied == 0) == isOn);
 }
 
 TEST_CASE("RECOVER: VMs that all start anew serve as soon as the store answers", "[rules]")
--- a/tests/platform/PlatformSettingsTest.cpp
+++ b/tests/platform/PlatformSettingsTest.cpp
@@ -54,6 +54,23 @@
     CHECK(settings->process.discovery.feed.address.toString() == "10.1.0.9:7395");
 }
 
+TEST_CASE("Bounds of cold backend servers are read, and what needs a restart is told apart")
+{
+    Reason reason;
+    const auto before = platform::readSettings(settingsText, reason);
+    std::string text = settingsText;
+    text.replace(text.find("retrySlack = 54"), 15, "coldOver = 2.5\ncoldSlack = 7");
+    const auto after = platform::readSettings(text, reason);
+    REQUIRE((before && after));
+    CHECK(after->process.serving.forwarder.fleet.cold.ratio == 2.5);
+    CHECK(after->process.serving.forwarder.fleet.cold.fixedForAll == 7);
+    CHECK_FALSE(platform::needsRestart(*before, *after));
+    text.replace(text.find("10.200.1.7"), 10, "10.200.1.8");
+    CHECK_FALSE(platform::needsRestart(*before, *platform::readSettings(text, reason)));
+    text.replace(text.find("10.1.0.9:8104"), 13, "10.1.0.9:8105");
+    CHECK(platform::needsRestart(*before, *platform::readSettings(text, reason)));
+}
+
 TEST_CASE("A settings file that cannot be used is refused with a reason that names the field")
 {
     for (const char *line : {"nodeName = \"vm-1\"", "frontend = \"10.1.0.9:8104\"",
