--- a/standins/Site.h
+++ b/standins/Site.h
@@ -32,6 +32,8 @@
         std::chrono::milliseconds workTime {5};
         /// Requests in a second that a cold backend server bears; 0 for no bound.
         double coldRequestsPerSecond = 0;
+        /// Where VMs find a backend server; its own address where there is no hook.
+        std::function<Address(const ShardServer &)> publishedAddress;
         /// Changes each route of the settings document before it is written.
         std::function<void(nlohmann::json &route)> adjustRoute = [](nlohmann::json &) {};
     };
