A line when a backend server begins to fail and when it is sound again; unused calls removed

Change: event=backend-failing (backend, service, address, domain, request, reason) at the first failure after replies, event=backend-sound at the first reply after failures, a counter.

--- a/src/Pimentoward/Connection/BackendHealth.cpp
+++ b/src/Pimentoward/Connection/BackendHealth.cpp
@@ -32,28 +32,31 @@
     return sent;
 }
 
-void BackendHealth::onReplied(unsigned number, SteadyTime now, double ratio)
+bool BackendHealth::onReplied(unsigned number, SteadyTime now, double ratio)
 {
     if (!take(number)) {
-        return;
+        return false;
     }
+    const bool endsFailures = m_failuresInRow > 0;
     const double learned = learnedSlowness(now);
     m_slowness = learned + m_settings.sampleWeight * (ratio - learned);
     m_learnedAt = now;
     m_failuresInRow = 0;
     m_pausedUntil = now;
+    return endsFailures;
 }
 
-void BackendHealth::onFailed(unsigned number, SteadyTime now)
+bool BackendHealth::onFailed(unsigned number, SteadyTime now)
 {
     if (!take(number)) {
-        return;
+        return false;
     }
     constexpr unsigned mostDoublings = 8;
     const unsigned doublings = std::min(m_failuresInRow, mostDoublings);
     ++m_failuresInRow;
     const Duration pause = m_settings.firstPause * (1U << doublings);
     m_pausedUntil = now + std::min(pause, m_settings.longestPause);
+    return m_failuresInRow == 1;
 }
 
 void BackendHealth::onDropped(unsigned number)
--- a/src/Pimentoward/Connection/BackendHealth.h
+++ b/src/Pimentoward/Connection/BackendHealth.h
@@ -34,10 +34,11 @@
 
     /// A request has been sent; it is overdue after `overdueAfter`. Gives its number.
     unsigned onSent(SteadyTime now, Duration overdueAfter);
-    /// It has been answered in `ratio` times the usual time.
-    void onReplied(unsigned number, SteadyTime now, double ratio);
-    /// It broke, or the backend server refused it.
-    void onFailed(unsigned number, SteadyTime now);
+    /// It has been answered in `ratio` times the usual time. True where that ends a row of
+    /// failures.
+    bool onReplied(unsigned number, SteadyTime now, double ratio);
+    /// It broke, or the backend server refused it. True where that begins a row of failures.
+    bool onFailed(unsigned number, SteadyTime now);
     /// It was given up without telling anything.
     void onDropped(unsigned number);
 
--- a/src/Pimentoward/Connection/ColdLimit.cpp
+++ b/src/Pimentoward/Connection/ColdLimit.cpp
@@ -25,7 +25,8 @@
     assert(rank < members);
     m_isBounded = perSecond > 0;
     const double bound = perSecond * m_settings.ratio + m_settings.fixedForAll;
-    const auto all = static_cast<std::size_t>(std::min(bound * m_settings.spentShare, mostPerWindow));
+    const auto all
+        = static_cast<std::size_t>(std::min(bound * m_settings.spentShare, mostPerWindow));
     const std::size_t share = all / members + (rank < all % members ? 1 : 0);
     if (!m_isBounded || share == m_share) {
         return;
--- a/src/Pimentoward/Discovery/Discovery.cpp
+++ b/src/Pimentoward/Discovery/Discovery.cpp
@@ -22,7 +22,8 @@
     : m_clock(clock)
     , m_store(store)
     , m_settings(settings)
-    , m_records(std::move(codec), {settings.feed.self, settings.directory, settings.members, settings.onlyForward},
+    , m_records(std::move(codec),
+                {settings.feed.self, settings.directory, settings.members, settings.onlyForward},
                 {std::move(hooks.onRoutes), std::move(hooks.onBackends), std::move(hooks.onMembers),
                  [this](const FeedChooser::Member &member) { m_chooser.onPresent(member); },
                  [this](const MemberId &member) { onMemberGone(member); }})
--- a/src/Pimentoward/Discovery/KeyValueStore.h
+++ b/src/Pimentoward/Discovery/KeyValueStore.h
@@ -107,8 +107,6 @@
     using Hook = std::function<void(std::optional<Value>, const StoreFailure &)>;
 
     virtual ~KeyValueStore() = default;
-    /// Reads one key.
-    virtual void read(const std::string &key, Hook<StoreItem> done) = 0;
     /// Reads a page of the keys that begin with `prefix`, after the key `after`.
     virtual void range(const std::string &prefix, const std::string &after, Hook<StorePage> done)
         = 0;
--- a/src/Pimentoward/Process/RendezvousHash.cpp
+++ b/src/Pimentoward/Process/RendezvousHash.cpp
@@ -39,9 +39,8 @@
 std::size_t RendezvousHash::rank(const std::vector<MemberId> &members, const MemberId &member,
                                  const BackendServerId &backendServer)
 {
-    const auto key = [&](const MemberId &id) {
-        return std::make_pair(weight(id, backendServer), id);
-    };
+    const auto key
+        = [&](const MemberId &id) { return std::make_pair(weight(id, backendServer), id); };
     const auto own = key(member);
     return static_cast<std::size_t>(std::count_if(
         members.begin(), members.end(), [&](const MemberId &id) { return key(id) > own; }));
@@ -54,8 +53,8 @@
     std::vector<Ranked> ranked;
     ranked.reserve(candidates.size());
     for (const Candidate &candidate : candidates) {
-        ranked.push_back({candidate.failureDomain == preferred,
-                          weight(candidate.id, backendServer), &candidate.id});
+        ranked.push_back({candidate.failureDomain == preferred, weight(candidate.id, backendServer),
+                          &candidate.id});
     }
     std::sort(ranked.begin(), ranked.end(), goesBefore);
     std::vector<MemberId> result;
@@ -74,7 +73,8 @@
     std::uint64_t bestWeight = 0;
     for (const Candidate &candidate : candidates) {
         const std::uint64_t candidateWeight = weight(candidate.id, backendServer);
-        const Ranked challenger {candidate.failureDomain == preferred, candidateWeight, &candidate.id};
+        const Ranked challenger {candidate.failureDomain == preferred, candidateWeight,
+                                 &candidate.id};
         if (best == nullptr
             || goesBefore(challenger, {best->failureDomain == preferred, bestWeight, &best->id})) {
             best = &candidate;
--- a/src/Pimentoward/Request/Forwarder.cpp
+++ b/src/Pimentoward/Request/Forwarder.cpp
@@ -246,16 +246,26 @@
     }
 }
 
+void Forwarder::noteFailure(const Exchange &exchange, const char *why, SteadyTime now)
+{
+    if (exchange.link->health().onFailed(exchange.healthNumber, now)) {
+        const RequestId id = exchange.request != nullptr ? exchange.request->id : RequestId();
+        m_report.onBackendFailing(exchange.link->record(), id, why);
+    }
+}
+
 void Forwarder::learn(const Exchange &exchange, const JudgedReply &reply, SteadyTime now)
 {
     const Duration time = now - exchange.sentAt;
     BackendHealth &health = exchange.link->health();
     if (reply.kind == ReplyKind::Success) {
-        health.onReplied(exchange.healthNumber, now, ratioOf(time, exchange.usualTime));
+        if (health.onReplied(exchange.healthNumber, now, ratioOf(time, exchange.usualTime))) {
+            m_report.onBackendSound(exchange.link->record());
+        }
         exchange.link->limit().onReply(exchange.sentAt, now, exchange.route->latencyObjective);
         m_latencies.add(*exchange.route, time);
     } else {
-        health.onFailed(exchange.healthNumber, now);
+        noteFailure(exchange, reply.why, now);
     }
     if (reply.isMisdirected && m_settings.checks.misdirected) {
         exchange.link->onMisdirected();
@@ -356,7 +366,7 @@
             isAnyLeft = true;
             continue;
         }
-        exchange->link->health().onFailed(exchange->healthNumber, now);
+        noteFailure(*exchange, "no reply in time", now);
         m_latencies.add(*exchange->route, now - exchange->sentAt);
         exchange->link->cancel(exchange->connection);
         m_exchanges.erase(exchange);
@@ -385,8 +395,7 @@
         }
         candidates.push_back({&id, link->record().failureDomain == m_settings.failureDomain,
                               link->isPreferred(), link->hasRoom() && !isTooCold,
-                              link->health().isSuspect(now),
-                              link->health().expectedSlowness(now)});
+                              link->health().isSuspect(now), link->health().expectedSlowness(now)});
     }
     return m_chooser.choose(candidates, purpose);
 }
--- a/src/Pimentoward/Request/Forwarder.h
+++ b/src/Pimentoward/Request/Forwarder.h
@@ -120,6 +120,7 @@
     void carryOut(ActiveRequest &request, GatherActions actions);
     void send(ActiveRequest &request, const GatherSend &send);
     void onExchangeEnded(Exchanges::iterator exchange, ExchangeEnd end, HttpReplyMessage reply);
+    void noteFailure(const Exchange &exchange, const char *why, SteadyTime now);
     void learn(const Exchange &exchange, const JudgedReply &reply, SteadyTime now);
     void finish(ActiveRequest &request, GatherOutcome outcome);
     void detachExchanges(ActiveRequest &request, Duration keepFor);
--- a/src/Pimentoward/Request/RequestReport.cpp
+++ b/src/Pimentoward/Request/RequestReport.cpp
@@ -49,6 +49,28 @@
         .record(now - request.readAt);
 }
 
+void RequestReport::onBackendFailing(const BackendRecord &backend, const RequestId &id,
+                                     const char *why)
+{
+    LOG4CPLUS_INFO(requestLog(),
+                   "event=backend-failing backend=" << backend.id << " service=" << backend.service
+                                                    << " address=" << backend.address.toString()
+                                                    << " domain=" << backend.failureDomain
+                                                    << " request=" << id << " reason=\"" << why
+                                                    << '"');
+    m_metrics
+        .counter("pimentoward_backend_failures_begun_total",
+                 "Times that a backend server began to fail")
+        .add();
+}
+
+void RequestReport::onBackendSound(const BackendRecord &backend)
+{
+    LOG4CPLUS_INFO(requestLog(),
+                   "event=backend-sound backend=" << backend.id << " service=" << backend.service
+                                                  << " address=" << backend.address.toString());
+}
+
 void RequestReport::onRefused(const RequestId &id, int status, Revision settings, const char *why)
 {
     LOG4CPLUS_INFO(requestLog(),
--- a/src/Pimentoward/Request/RequestReport.h
+++ b/src/Pimentoward/Request/RequestReport.h
@@ -2,6 +2,7 @@
 
 #include "Pimentoward/Process/Metrics.h"
 #include "Pimentoward/Request/ActiveRequest.h"
+#include "Pimentoward/Version/BackendRecord.h"
 
 namespace pimentoward {
 
@@ -15,6 +16,11 @@
     /// Refused without having been sent; `settings` is the version in force, 0 for none.
     void onRefused(const RequestId &id, int status, Revision settings, const char *why);
     void onCallerGone(const ActiveRequest &request, SteadyTime now);
+    /// The first failure of a backend server after replies. `id` is empty where the request that
+    /// met it has ended before.
+    void onBackendFailing(const BackendRecord &backend, const RequestId &id, const char *why);
+    /// The first reply of a backend server after failures.
+    void onBackendSound(const BackendRecord &backend);
 
 private:
     Metrics &m_metrics;
--- a/src/Pimentoward/Request/UrgencyQueue.h
+++ b/src/Pimentoward/Request/UrgencyQueue.h
@@ -47,8 +47,7 @@
             const Duration age = now - urgency.readAt;
             return std::make_tuple(isLate, urgency.priority, isLate ? age : -age, item);
         };
-        std::sort(order.begin(), order.end(),
-                  [&](Item *a, Item *b) { return rank(a) < rank(b); });
+        std::sort(order.begin(), order.end(), [&](Item *a, Item *b) { return rank(a) < rank(b); });
         return order;
     }
 
--- a/src/Pimentoward/Version/RouteTable.h
+++ b/src/Pimentoward/Version/RouteTable.h
@@ -12,7 +12,6 @@
 /// What the settings say of one service.
 struct ServiceRules
 {
-    std::string healthPath;
     /// Connections that one of its backend servers accepts from all VMs together.
     unsigned maxConnections = 0;
     /// How long a backend server is cold after its start.
--- a/standins/Site.cpp
+++ b/standins/Site.cpp
@@ -90,8 +90,8 @@
 void Site::registerServer(const ShardServer &server, const std::string &domain,
                           const std::string &state, std::chrono::milliseconds coldLeft)
 {
-    const Address address = m_settings.publishedAddress ? m_settings.publishedAddress(server)
-                                                        : server.address();
+    const Address address
+        = m_settings.publishedAddress ? m_settings.publishedAddress(server) : server.address();
     const Json record = {{"service", server.settings().service},
                          {"address", address.toString()},
                          {"zone", domain},
--- a/tests/Connection/ColdLimitTest.cpp
+++ b/tests/Connection/ColdLimitTest.cpp
@@ -50,7 +50,8 @@
 {
     const std::size_t vms = GENERATE(1, 2, 7, 8, 67, 300);
     const double perSecond = GENERATE(0.5, 2.0, 20.0, 200.0);
-    const double bound = perSecond * ColdLimit::Settings().ratio + ColdLimit::Settings().fixedForAll;
+    const double bound
+        = perSecond * ColdLimit::Settings().ratio + ColdLimit::Settings().fixedForAll;
     const auto most = static_cast<double>(mostInSecond(vms, perSecond));
     CHECK(most <= bound);
     CHECK(most >= 0.5 * bound - 1);
--- a/tests/Connection/HttpClientTest.cpp
+++ b/tests/Connection/HttpClientTest.cpp
@@ -40,7 +40,8 @@
 {
     const LoopPtr loop(newPreciseLoop(), &event_base_free);
     std::vector<ScriptedServer::Peer *> held;
-    ScriptedServer first(loop.get(), [&held](ScriptedServer::Peer &peer) { held.push_back(&peer); });
+    ScriptedServer first(loop.get(),
+                         [&held](ScriptedServer::Peer &peer) { held.push_back(&peer); });
     ScriptedServer second(loop.get(), answering("second"));
     HttpClient client(loop.get(), first.address());
     std::vector<std::string> answers;
--- a/tests/Process/TierRulesTest.cpp
+++ b/tests/Process/TierRulesTest.cpp
@@ -26,6 +26,14 @@
     return request;
 }
 
+/// A world in which all VMs have one check of theirs on or off.
+TierWorld::Settings settingsWith(bool ForwarderChecks::*check, bool isOn)
+{
+    TierWorld::Settings settings;
+    settings.adjust = [=](ServingTaskSettings &serving) { serving.forwarder.checks.*check = isOn; };
+    return settings;
+}
+
 /// How often each request of `service` was run, by request id.
 std::map<std::string, int> runsOf(TierWorld &world, const std::string &service)
 {
@@ -71,10 +79,7 @@
 TEST_CASE("MIXED: faulty replies never reach a caller as a success", "[rules]")
 {
     const bool isOn = GENERATE(true, false);
-    TierWorld::Settings settings;
-    settings.adjust
-        = [isOn](ServingTaskSettings &serving) { serving.forwarder.checks.replyIdentity = isOn; };
-    TierWorld world(settings);
+    TierWorld world(settingsWith(&ForwarderChecks::replyIdentity, isOn));
     REQUIRE(world.waitUntilKnown());
     addFaults(world,
               {Fault::CutReply, Fault::Garbage, Fault::ExtraReply, Fault::StrayReply,
@@ -193,11 +198,9 @@
 TEST_CASE("BUDGET: backend servers are handed no more time than is left", "[rules]")
 {
     const bool isOn = GENERATE(true, false);
-    TierWorld::Settings settings;
+    TierWorld::Settings settings = settingsWith(&ForwarderChecks::timeLeft, isOn);
     // Enough of them, and few requests, so that none waits in a queue before it runs.
     settings.site.singles = 6;
-    settings.adjust
-        = [isOn](ServingTaskSettings &serving) { serving.forwarder.checks.timeLeft = isOn; };
     TierWorld world(settings);
     REQUIRE(world.waitUntilKnown());
     // Replies are lost after a while; what is sent again has that much less time.
@@ -228,10 +231,7 @@
 TEST_CASE("GONE: work for a caller that has left ends within half a second", "[rules]")
 {
     const bool isOn = GENERATE(true, false);
-    TierWorld::Settings settings;
-    settings.adjust
-        = [isOn](ServingTaskSettings &serving) { serving.forwarder.checks.callerGone = isOn; };
-    TierWorld world(settings);
+    TierWorld world(settingsWith(&ForwarderChecks::callerGone, isOn));
     REQUIRE(world.waitUntilKnown());
     for (ShardServer *server : world.site().allServers()) {
         server->changeWorkTime(3s);
@@ -253,10 +253,7 @@
 TEST_CASE("DRAIN: a backend server that is leaving gets nothing new", "[rules]")
 {
     const bool isOn = GENERATE(true, false);
-    TierWorld::Settings settings;
-    settings.adjust
-        = [isOn](ServingTaskSettings &serving) { serving.forwarder.checks.outOfService = isOn; };
-    TierWorld world(settings);
+    TierWorld world(settingsWith(&ForwarderChecks::outOfService, isOn));
     REQUIRE(world.waitUntilKnown());
     ShardServer &leaving = *world.site().servers("single").front();
     world.site().registerServer(leaving, "a", "draining");
@@ -271,10 +268,7 @@
 TEST_CASE("EVAC: a failure domain out of service gets nothing, until it is taken back", "[rules]")
 {
     const bool isOn = GENERATE(true, false);
-    TierWorld::Settings settings;
-    settings.adjust
-        = [isOn](ServingTaskSettings &serving) { serving.forwarder.checks.outOfService = isOn; };
-    TierWorld world(settings);
+    TierWorld world(settingsWith(&ForwarderChecks::outOfService, isOn));
     REQUIRE(world.waitUntilKnown());
     ShardServer &server = *world.site().servers("single").front();
     const std::string key = std::string(platform::wire::domainOutPrefix) + "a";
@@ -339,10 +333,8 @@
           "[rules]")
 {
     const bool isOn = GENERATE(true, false);
-    TierWorld::Settings settings;
+    TierWorld::Settings settings = settingsWith(&ForwarderChecks::expectedBackend, isOn);
     settings.site.singles = 1;
-    settings.adjust
-        = [isOn](ServingTaskSettings &serving) { serving.forwarder.checks.expectedBackend = isOn; };
     TierWorld world(settings);
     REQUIRE(world.waitUntilKnown());
     // The store has not told yet: the record still names the former server.
@@ -357,10 +349,7 @@
           "[rules]")
 {
     const bool isOn = GENERATE(true, false);
-    TierWorld::Settings settings;
-    settings.adjust
-        = [isOn](ServingTaskSettings &serving) { serving.forwarder.checks.misdirected = isOn; };
-    TierWorld world(settings);
+    TierWorld world(settingsWith(&ForwarderChecks::misdirected, isOn));
     REQUIRE(world.waitUntilKnown());
     // The VM does not hear of it, as one that is cut off from the store.
     ShardServer &server = *world.site().servers("single").front();
@@ -388,9 +377,8 @@
 {
     const bool isOn = GENERATE(true, false);
     TierWorld::Settings settings;
-    settings.adjust = [isOn](ServingTaskSettings &serving) {
-        serving.forwarder.timing.endsAtTimeout = isOn;
-    };
+    settings.adjust
+        = [isOn](ServingTaskSettings &serving) { serving.forwarder.timing.endsAtTimeout = isOn; };
     TierWorld world(settings);
     REQUIRE(world.waitUntilKnown());
     for (ShardServer *server : world.site().allServers()) {
--- a/tests/Request/DirectDecisionsTest.cpp
+++ b/tests/Request/DirectDecisionsTest.cpp
@@ -139,7 +139,8 @@
         last = pause;
         now += 10s;
     }
-    health.onReplied(health.onSent(now, 50ms), now, 1);
+    CHECK(health.onReplied(health.onSent(now, 50ms), now, 1));
+    CHECK_FALSE(health.onReplied(health.onSent(now, 50ms), now, 1));
     CHECK_FALSE(health.isSuspect(now));
 }
 
--- a/tests/Request/OverloadTest.cpp
+++ b/tests/Request/OverloadTest.cpp
@@ -93,7 +93,8 @@
         std::uniform_int_distribution<std::size_t> vm(0, m_plan.vms - 1);
         SteadyTime at = start;
         while (at < start + m_plan.pressure) {
-            at += std::chrono::duration_cast<Duration>(std::chrono::duration<double>(gap(m_random)));
+            at += std::chrono::duration_cast<Duration>(
+                std::chrono::duration<double>(gap(m_random)));
             m_requests.push_back(std::make_unique<Request>(Request {vm(m_random), at, {}}));
             m_events.emplace(at, [this, request = m_requests.back().get()] { arrive(*request); });
         }
@@ -181,7 +182,8 @@
 
 TEST_CASE("Pressed beyond what a shard can do, most of what it can do is answered in time")
 {
-    // Three slots at 28 ms do 0.71 of what is asked; at least four fifths of that are to be in time.
+    // Three slots at 28 ms do 0.71 of what is asked; at least four fifths of that are to be in
+    // time.
     constexpr double possible = 0.71;
     const auto share = [](const PressedServer::Counts &counts) {
         return static_cast<double>(counts.inTime) / counts.asked;
