Waiting requests are ranked once a turn; a wait for a cold backend server is not put off

Cause, found by reading: UrgencyQueue looked each request up in its map at every comparison, on VMs of an eighth of a core under pressure; the timer that looks again at a cold backend server was set anew by each request, so that constant traffic could put it off. Change: ranks are built once a turn; the timer is set only where it is not pending.

--- a/src/Pimentoward/Process/Timer.cpp
+++ b/src/Pimentoward/Process/Timer.cpp
@@ -39,6 +39,11 @@
     arm();
 }
 
+bool Timer::isPending() const
+{
+    return evtimer_pending(m_event, nullptr) != 0;
+}
+
 void Timer::stop()
 {
     m_repeating = false;
--- a/src/Pimentoward/Process/Timer.h
+++ b/src/Pimentoward/Process/Timer.h
@@ -24,6 +24,8 @@
     void startRepeating(Duration period);
     /// Cancels a pending run.
     void stop();
+    /// True while a run is to come.
+    bool isPending() const;
 
 private:
     void arm();
--- a/src/Pimentoward/Request/Forwarder.cpp
+++ b/src/Pimentoward/Request/Forwarder.cpp
@@ -377,6 +377,14 @@
     }
 }
 
+void Forwarder::lookAgainAt(const ServiceName &service)
+{
+    m_hasRoom.insert(service);
+    if (!m_coldTimer.isPending()) {
+        m_coldTimer.startOnce(coldRetryPeriod);
+    }
+}
+
 Gather::Choice Forwarder::choose(const ServiceName &service,
                                  const std::vector<BackendServerId> &avoid, SendPurpose purpose,
                                  SteadyTime now)
@@ -390,8 +398,7 @@
         }
         const bool isTooCold = m_settings.checks.coldLimit && !link->coldLimit().allows(now);
         if (isTooCold) {
-            m_hasRoom.insert(service);
-            m_coldTimer.startOnce(coldRetryPeriod);
+            lookAgainAt(service);
         }
         candidates.push_back({&id, link->record().failureDomain == m_settings.failureDomain,
                               link->isPreferred(), link->hasRoom() && !isTooCold,
--- a/src/Pimentoward/Request/Forwarder.h
+++ b/src/Pimentoward/Request/Forwarder.h
@@ -130,6 +130,8 @@
     void serveWaiting();
     void sweep();
     void updateFleet();
+    /// Offers room at `service` again after a while, where cold backend servers could get no more.
+    void lookAgainAt(const ServiceName &service);
     Gather::Choice choose(const ServiceName &service, const std::vector<BackendServerId> &avoid,
                           SendPurpose purpose, SteadyTime now);
     bool takeExtra(const ServiceName &service, SteadyTime now);
--- a/src/Pimentoward/Request/UrgencyQueue.h
+++ b/src/Pimentoward/Request/UrgencyQueue.h
@@ -36,22 +36,27 @@
     /// All items, the first to be served first.
     std::vector<Item *> inOrder(SteadyTime now) const
     {
-        std::vector<Item *> order;
-        order.reserve(m_items.size());
+        std::vector<Rank> ranks;
+        ranks.reserve(m_items.size());
         for (const auto &[item, urgency] : m_items) {
-            order.push_back(item);
-        }
-        const auto rank = [&](Item *item) {
-            const Urgency &urgency = m_items.at(item);
             const bool isLate = now > urgency.sendBy;
             const Duration age = now - urgency.readAt;
-            return std::make_tuple(isLate, urgency.priority, isLate ? age : -age, item);
-        };
-        std::sort(order.begin(), order.end(), [&](Item *a, Item *b) { return rank(a) < rank(b); });
+            ranks.emplace_back(isLate, urgency.priority, isLate ? age : -age, item);
+        }
+        std::sort(ranks.begin(), ranks.end());
+        std::vector<Item *> order;
+        order.reserve(ranks.size());
+        for (const Rank &rank : ranks) {
+            order.push_back(std::get<Item *>(rank));
+        }
         return order;
     }
 
 private:
+    /// Whether it is late, its priority, then its age: the oldest of those in time first, the
+    /// youngest of the others.
+    using Rank = std::tuple<bool, int, Duration, Item *>;
+
     std::map<Item *, Urgency> m_items;
 };
 
