--- a/standins/ServerFaults.cpp
+++ b/standins/ServerFaults.cpp
@@ -33,7 +33,7 @@
         return found->second;
     }
     const auto port = static_cast<std::uint16_t>(firstRelayPort + m_addresses.size());
-    const Address address {m_relayHost, port};
+    Address address {m_relayHost, port};
     if (Reason reason; !m_relay.listen({id, address, server.address()}, reason)) {
         throw std::runtime_error(reason.text);
     }
