--- a/apps/weak-tier/main.cpp
+++ b/apps/weak-tier/main.cpp
@@ -1,5 +1,6 @@
 /// A VM of the tier with one of its mechanisms off, to show that the soak notices. Never deployed.
 
+#include "Pimentoward/Core/FileText.h"
 #include "Pimentoward/Core/Log.h"
 #include "platform/PlatformSettings.h"
 #include "platform/RecordReader.h"
@@ -50,7 +51,7 @@
 int run(const std::string &path, const Weaken &weaken)
 {
     Reason reason;
-    const auto text = platform::readFile(path, reason);
+    const auto text = readFile(path, reason);
     auto settings = text ? platform::readSettings(*text, reason) : std::nullopt;
     if (!settings) {
         std::cerr << reason.text << '\n';
--- a/cmake/TierSources.cmake
+++ b/cmake/TierSources.cmake
@@ -1,9 +1,11 @@
 # The part of the library that a VM on the platform runs; deploy/system.toml builds only this.
 set(TIER_SOURCES
   Core/Address.cpp
+  Core/Base64.cpp
   Core/BoundedAppender.cpp
   Core/CallPacer.cpp
   Core/Compression.cpp
+  Core/FileText.cpp
   Core/Log.cpp
   Core/ResultCode.cpp
   Connection/BackendConnection.cpp
@@ -52,6 +54,7 @@
   Request/LatencyEstimate.cpp
   Request/RecordMerge.cpp
   Request/ReplyJudge.cpp
+  Request/RequestPlanner.cpp
   Request/RequestReport.cpp
   Request/RouteLatencies.cpp
   Request/SharedRetryBudget.cpp
--- a/src/Pimentoward/Connection/BackendConnection.cpp
+++ b/src/Pimentoward/Connection/BackendConnection.cpp
@@ -213,7 +213,6 @@
 {
     const std::string_view answered = reply.headers.value(m_requestIdHeader);
     if (!answered.empty() && answered != m_requestId) {
-        ++m_strayReplies;
         m_isSpent = true;
         return;
     }
--- a/src/Pimentoward/Connection/BackendConnection.h
+++ b/src/Pimentoward/Connection/BackendConnection.h
@@ -37,6 +37,7 @@
         /// The reply names it in the header `requestIdHeader`; a reply to another request is
         /// dropped.
         RequestId requestId;
+        /// Names a text that outlives the connection; empty where any reply is taken.
         std::string_view requestIdHeader;
     };
     using DoneHook = std::function<void(ExchangeEnd, HttpReplyMessage)>;
@@ -53,8 +54,6 @@
     bool isBusy() const { return m_done != nullptr; }
     /// False where no further request may be sent on it.
     bool isReusable() const { return !m_isSpent; }
-    /// Replies dropped since they belong to other requests.
-    unsigned strayReplies() const { return m_strayReplies; }
 
 private:
     void open(const Address &address);
@@ -83,7 +82,6 @@
     /// certain that nothing was sent.
     std::string m_unsent;
     Duration m_idleLimit;
-    unsigned m_strayReplies = 0;
     bool m_isConnected = false;
     bool m_isSpent = false;
 };
--- a/src/Pimentoward/Connection/BackendFleet.cpp
+++ b/src/Pimentoward/Connection/BackendFleet.cpp
@@ -71,7 +71,8 @@
                 takeOutOfService(std::exchange(link, nullptr));
             }
             if (!link) {
-                link = std::make_unique<BackendLink>(m_loop, record, m_settings.cold, m_onRoom);
+                link
+                    = std::make_unique<BackendLink>(m_loop, record, m_settings.cold, now, m_onRoom);
             }
             link->changeRecord(record, now);
             link->changeShare(shareOf(record, *routes, members.size()));
--- a/src/Pimentoward/Connection/BackendHealth.cpp
+++ b/src/Pimentoward/Connection/BackendHealth.cpp
@@ -16,20 +16,19 @@
 unsigned BackendHealth::onSent(SteadyTime now, Duration overdueAfter)
 {
     ++m_lastNumber;
-    m_inFlight.push_back({m_lastNumber, now, now + overdueAfter});
+    m_inFlight.push_back({m_lastNumber, now + overdueAfter});
     return m_lastNumber;
 }
 
-std::optional<BackendHealth::Sent> BackendHealth::take(unsigned number)
+bool BackendHealth::take(unsigned number)
 {
     const auto found = std::find_if(m_inFlight.begin(), m_inFlight.end(),
                                     [&](const Sent &sent) { return sent.number == number; });
     if (found == m_inFlight.end()) {
-        return std::nullopt;
+        return false;
     }
-    const Sent sent = *found;
     m_inFlight.erase(found);
-    return sent;
+    return true;
 }
 
 bool BackendHealth::onReplied(unsigned number, SteadyTime now, double ratio)
@@ -59,11 +58,6 @@
     return m_failuresInRow == 1;
 }
 
-void BackendHealth::onDropped(unsigned number)
-{
-    take(number);
-}
-
 bool BackendHealth::isSuspect(SteadyTime now) const
 {
     const bool isOverdue = std::any_of(m_inFlight.begin(), m_inFlight.end(),
--- a/src/Pimentoward/Connection/BackendHealth.h
+++ b/src/Pimentoward/Connection/BackendHealth.h
@@ -2,7 +2,6 @@
 
 #include "Pimentoward/Core/Types.h"
 
-#include <optional>
 #include <vector>
 
 namespace pimentoward {
@@ -39,8 +38,6 @@
     bool onReplied(unsigned number, SteadyTime now, double ratio);
     /// It broke, or the backend server refused it. True where that begins a row of failures.
     bool onFailed(unsigned number, SteadyTime now);
-    /// It was given up without telling anything.
-    void onDropped(unsigned number);
 
     std::size_t inFlight() const { return m_inFlight.size(); }
     /// True while a request is overdue, or for a while after failures.
@@ -52,11 +49,11 @@
     struct Sent
     {
         unsigned number = 0;
-        SteadyTime at {};
         SteadyTime overdueAt {};
     };
 
-    std::optional<Sent> take(unsigned number);
+    /// Removes a request from those in flight; false where it is none of them.
+    bool take(unsigned number);
     double learnedSlowness(SteadyTime now) const;
 
     Settings m_settings;
--- a/src/Pimentoward/Connection/BackendLink.cpp
+++ b/src/Pimentoward/Connection/BackendLink.cpp
@@ -6,19 +6,20 @@
 namespace pimentoward {
 
 BackendLink::BackendLink(event_base *loop, BackendRecord record, const ColdLimit::Settings &cold,
-                         RoomHook onRoom)
+                         SteadyTime now, RoomHook onRoom)
     : m_loop(loop)
     , m_record(std::move(record))
     , m_onRoom(std::move(onRoom))
     , m_coldLimit(cold)
     , m_sweep(loop, [this] { m_ended.clear(); })
-{ }
+{
+    m_coldLimit.changeCold(now + m_record.coldLeft);
+}
 
 void BackendLink::changeRecord(BackendRecord record, SteadyTime now)
 {
     // A list that is built anew repeats records that have not changed.
-    if (record.coldLeft != m_coldLeft) {
-        m_coldLeft = record.coldLeft;
+    if (record.coldLeft != m_record.coldLeft) {
         m_coldLimit.changeCold(now + record.coldLeft);
     }
     m_record = std::move(record);
--- a/src/Pimentoward/Connection/BackendLink.h
+++ b/src/Pimentoward/Connection/BackendLink.h
@@ -21,8 +21,9 @@
     using RoomHook = std::function<void(BackendLink &)>;
     using DoneHook = BackendConnection::DoneHook;
 
+    /// How long the record says that it stays cold counts from `now`.
     BackendLink(event_base *loop, BackendRecord record, const ColdLimit::Settings &cold,
-                RoomHook onRoom);
+                SteadyTime now, RoomHook onRoom);
 
     const BackendRecord &record() const { return m_record; }
     /// Takes a newer record of the same run; how long it stays cold counts from `now`.
@@ -51,8 +52,6 @@
     BackendConnection *send(const BackendConnection::Exchange &exchange, DoneHook done);
     /// Gives the exchange up; the backend server sees the connection close. No hook runs.
     void cancel(BackendConnection *connection);
-    /// False once the backend server is no longer in service: it gets nothing new.
-    bool isInService() const { return m_isInService; }
     /// Nothing new is sent any more; free connections are closed.
     void takeOutOfService();
     std::size_t connections() const { return m_connections.size(); }
@@ -70,8 +69,6 @@
 
     event_base *m_loop;
     BackendRecord m_record;
-    /// As the last record said.
-    Duration m_coldLeft {};
     RoomHook m_onRoom;
     BackendHealth m_health;
     ConcurrencyLimit m_limit;
--- a/src/Pimentoward/Connection/ColdStart.cpp
+++ b/src/Pimentoward/Connection/ColdStart.cpp
@@ -17,11 +17,6 @@
 /// A speed is even where the slowest quarter's median is at most this multiple of the fastest's.
 constexpr double evenFactor = 1.6;
 
-Duration scaled(Duration duration, double factor)
-{
-    return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
-}
-
 Duration mixed(Duration before, Duration sample, double weight)
 {
     return before + scaled(sample - before, weight);
--- a/platform/Base64.cpp
+++ b/src/Pimentoward/Core/Base64.cpp
@@ -1,8 +1,8 @@
-#include "Base64.h"
+#include "Pimentoward/Core/Base64.h"
 
 #include <string_view>
 
-namespace platform {
+namespace pimentoward {
 
 namespace {
 
@@ -64,4 +64,4 @@
     return bytes;
 }
 
-} // namespace platform
+} // namespace pimentoward
--- a/src/Pimentoward/Core/Types.h
+++ b/src/Pimentoward/Core/Types.h
@@ -13,6 +13,12 @@
 /// The resolution in which decisions are made.
 using Duration = std::chrono::nanoseconds;
 
+/// `factor` times `time`.
+inline Duration scaled(Duration time, double factor)
+{
+    return std::chrono::duration_cast<Duration>(time * factor);
+}
+
 /// Name of one VM of the tier, as the platform's VM list gives it.
 using MemberId = std::string;
 /// Name of one backend server, unique over all services.
--- a/src/Pimentoward/Discovery/DiscoveredRecords.cpp
+++ b/src/Pimentoward/Discovery/DiscoveredRecords.cpp
@@ -26,12 +26,14 @@
 
 } // namespace
 
-DiscoveredRecords::DiscoveredRecords(RecordCodec codec, const Settings &settings, Hooks hooks)
+DiscoveredRecords::DiscoveredRecords(RecordCodec codec, const MemberId &self,
+                                     const Settings &settings, Hooks hooks, MemberHooks memberHooks)
     : m_codec(std::move(codec))
     , m_onlyForward(settings.onlyForward)
     , m_hooks(std::move(hooks))
+    , m_memberHooks(std::move(memberHooks))
     , m_directory(settings.directory)
-    , m_members(settings.self, settings.members)
+    , m_members(self, settings.members)
 { }
 
 void DiscoveredRecords::onWritten(const StoreItem &item)
@@ -55,7 +57,7 @@
     m_members.onPresent(member);
     Reason reason;
     if (const auto announced = decodeMember(member, item.value, reason)) {
-        m_hooks.onMember(*announced);
+        m_memberHooks.onMember(*announced);
         return;
     }
     LOG4CPLUS_WARN(recordsLog(),
@@ -119,7 +121,7 @@
     } else if (const auto member = rest(key, m_codec.memberPrefix)) {
         LOG4CPLUS_INFO(recordsLog(), "event=member-gone member=" << *member);
         m_members.onVanished(*member, now);
-        m_hooks.onMemberGone(*member);
+        m_memberHooks.onMemberGone(*member);
     }
 }
 
--- a/src/Pimentoward/Discovery/DiscoveredRecords.h
+++ b/src/Pimentoward/Discovery/DiscoveredRecords.h
@@ -21,24 +21,29 @@
 public:
     struct Settings
     {
-        MemberId self;
         BackendDirectory::Settings directory;
         SharedMembers::Settings members;
-        /// Off in tests only: takes whatever version was written last.
+        /// Off in tests only: takes whatever version of the settings was written last.
         bool onlyForward = true;
     };
 
-    /// Each is told only after a change.
+    /// What is in force; each is told only after a change.
     struct Hooks
     {
         std::function<void(RouteTablePtr)> onRoutes;
         std::function<void(BackendListPtr)> onBackends;
         std::function<void(std::vector<MemberId>)> onMembers;
+    };
+
+    /// Each VM's record as it is written, and its end.
+    struct MemberHooks
+    {
         std::function<void(const FeedChooser::Member &)> onMember;
         std::function<void(const MemberId &)> onMemberGone;
     };
 
-    DiscoveredRecords(RecordCodec codec, const Settings &settings, Hooks hooks);
+    DiscoveredRecords(RecordCodec codec, const MemberId &self, const Settings &settings,
+                      Hooks hooks, MemberHooks memberHooks);
 
     void onWritten(const StoreItem &item);
     void onRemoved(const std::string &key, SteadyTime now);
@@ -61,6 +66,7 @@
     RecordCodec m_codec;
     bool m_onlyForward;
     Hooks m_hooks;
+    MemberHooks m_memberHooks;
     BackendDirectory m_directory;
     SharedMembers m_members;
     /// The newest settings document that has not been read yet.
--- a/src/Pimentoward/Discovery/Discovery.cpp
+++ b/src/Pimentoward/Discovery/Discovery.cpp
@@ -18,14 +18,12 @@
 } // namespace
 
 Discovery::Discovery(event_base *loop, const Clock &clock, KeyValueStore &store, RecordCodec codec,
-                     const Settings &settings, Hooks hooks)
+                     const Settings &settings, DiscoveredRecords::Hooks hooks)
     : m_clock(clock)
     , m_store(store)
     , m_settings(settings)
-    , m_records(std::move(codec),
-                {settings.feed.self, settings.directory, settings.members, settings.onlyForward},
-                {std::move(hooks.onRoutes), std::move(hooks.onBackends), std::move(hooks.onMembers),
-                 [this](const FeedChooser::Member &member) { m_chooser.onPresent(member); },
+    , m_records(std::move(codec), settings.feed.self, settings.records, std::move(hooks),
+                {[this](const FeedChooser::Member &member) { m_chooser.onPresent(member); },
                  [this](const MemberId &member) { onMemberGone(member); }})
     , m_mirror(settings.mirror,
                {[this](const StoreItem &item) {
--- a/src/Pimentoward/Discovery/Discovery.h
+++ b/src/Pimentoward/Discovery/Discovery.h
@@ -32,22 +32,11 @@
         Duration relayedWatchTime = std::chrono::milliseconds(1500);
         StoreMirror::Settings mirror;
         Registration::Settings registration;
-        BackendDirectory::Settings directory;
-        SharedMembers::Settings members;
-        /// Off in tests only: takes whatever version of the settings was written last.
-        bool onlyForward = true;
-    };
-
-    /// Each is told only after a change.
-    struct Hooks
-    {
-        std::function<void(RouteTablePtr)> onRoutes;
-        std::function<void(BackendListPtr)> onBackends;
-        std::function<void(std::vector<MemberId>)> onMembers;
+        DiscoveredRecords::Settings records;
     };
 
     Discovery(event_base *loop, const Clock &clock, KeyValueStore &store, RecordCodec codec,
-              const Settings &settings, Hooks hooks);
+              const Settings &settings, DiscoveredRecords::Hooks hooks);
 
     /// Binds the address for other VMs; false with InvalidSetting in `reason` where that fails.
     bool listen(Reason &reason);
--- a/src/Pimentoward/Discovery/StoreMirror.cpp
+++ b/src/Pimentoward/Discovery/StoreMirror.cpp
@@ -19,7 +19,7 @@
         const Duration mean
             = std::min(m_settings.firstPause * (1U << doublings), m_settings.longestPause);
         std::uniform_real_distribution<double> around(0.5, 1.5);
-        return Pause {std::chrono::duration_cast<Duration>(mean * around(m_random))};
+        return Pause {scaled(mean, around(m_random))};
     }
     if (m_isListing) {
         return List {m_listAfter};
--- a/src/Pimentoward/Request/ActiveRequest.h
+++ b/src/Pimentoward/Request/ActiveRequest.h
@@ -3,7 +3,7 @@
 #include "Pimentoward/Connection/CallerConnection.h"
 #include "Pimentoward/Process/Timer.h"
 #include "Pimentoward/Request/Gather.h"
-#include "Pimentoward/Request/UrgencyQueue.h"
+#include "Pimentoward/Request/RequestPlanner.h"
 #include "Pimentoward/Version/RouteTable.h"
 
 #include <functional>
@@ -15,9 +15,13 @@
 /// decisions.
 struct ActiveRequest
 {
-    ActiveRequest(event_base *loop, GatherPlan plan, const Gather::Environment &environment,
+    ActiveRequest(event_base *loop, const RequestPlan &plan, const Gather::Environment &environment,
                   const Gather::Checks &checks, std::function<void()> onTimer)
-        : gather(std::move(plan), environment, checks)
+        : deadline(plan.gather.deadline)
+        , hedgeDelay(plan.gather.hedgeDelay)
+        , usualTime(plan.usualTime)
+        , urgency(plan.urgency)
+        , gather(plan.gather, environment, checks)
         , timer(loop, std::move(onTimer))
     { }
 
@@ -31,12 +35,12 @@
     std::string head;
     std::string body;
     SteadyTime readAt {};
-    SteadyTime deadline {};
-    /// Its place among those that wait for room.
-    Urgency urgency;
-    Duration hedgeDelay {};
+    const SteadyTime deadline;
+    const Duration hedgeDelay;
     /// The usual time of one part, by which replies are compared.
-    Duration usualTime {};
+    const Duration usualTime;
+    /// Its place among those that wait for room.
+    const Urgency urgency;
     Gather gather;
     Timer timer;
 };
--- a/src/Pimentoward/Request/AnswerTiming.cpp
+++ b/src/Pimentoward/Request/AnswerTiming.cpp
@@ -24,8 +24,7 @@
     moments.deadline
         = request.readAt + std::max(total - m_settings.lastWordMargin, m_settings.shortest);
     const Duration whole = request.objective - onWay - m_settings.wayBack;
-    const auto worthwhile
-        = std::chrono::duration_cast<Duration>(whole * m_settings.askedAgainShare);
+    const Duration worthwhile = scaled(whole, m_settings.askedAgainShare);
     const bool isAskedAgain = whole - before < worthwhile;
     const Duration objectiveLeft = isAskedAgain ? whole : whole - before;
     moments.answerBy
--- a/src/Pimentoward/Request/Forwarder.cpp
+++ b/src/Pimentoward/Request/Forwarder.cpp
@@ -36,8 +36,7 @@
     , m_report(metrics)
     , m_fleet(loop, settings.fleet, [this](BackendLink &link) { onRoom(link); })
     , m_chooser(settings.chooser)
-    , m_timing(settings.timing)
-    , m_latencies(settings.latencies)
+    , m_planner(settings.plans)
     , m_environment {
           [this](const ServiceName &service, const std::vector<BackendServerId> &avoid,
                  SendPurpose purpose,
@@ -126,46 +125,20 @@
     caller.reply(std::move(reply));
 }
 
-GatherPlan Forwarder::planFor(const Route &route, const CallerConnection::Arrival &arrival)
-{
-    GatherPlan plan;
-    plan.isFanout = route.isFanout();
-    plan.isIdempotent = route.isIdempotent || plan.isFanout;
-    if (plan.isFanout) {
-        plan.parts = route.shards;
-    } else {
-        plan.parts = {m_turns.next(route)};
-    }
-    plan.maxAttempts = route.maxAttempts;
-    plan.leastCoverage = route.leastCoverage;
-    plan.topRecords = route.topRecords;
-    const AnswerTiming::Moments moments = m_timing.moments(
-        {arrival.readAt, m_messages.timeLeft(arrival.request).value_or(route.timeout),
-         route.timeout, route.latencyObjective, arrival.isFirst});
-    plan.answerBy = moments.answerBy;
-    plan.deadline = moments.deadline;
-    plan.refuseBy = arrival.readAt
-        + std::chrono::duration_cast<Duration>(route.latencyObjective * m_settings.refuseShare);
-    plan.hedgeDelay = m_latencies.hedgeDelay(route);
-    return plan;
-}
-
 void Forwarder::begin(CallerConnection &caller, CallerConnection::Arrival arrival,
                       const Route &route, const RequestId &id)
 {
     const SteadyTime now = std::chrono::steady_clock::now();
-    GatherPlan plan = planFor(route, arrival);
-    for (const ServiceName &service : plan.parts) {
+    const RequestPlan plan = m_planner.plan(
+        route, {arrival.readAt, m_messages.timeLeft(arrival.request), arrival.isFirst});
+    for (const ServiceName &service : plan.gather.parts) {
         budget(service).onRequest(now);
     }
-    const SteadyTime deadline = plan.deadline;
-    const SteadyTime answerBy = plan.answerBy;
-    const Duration hedgeDelay = plan.hedgeDelay;
     const auto onTimer = [this, key = &caller] {
         ActiveRequest &timed = *m_requests.at(key);
         carryOut(timed, timed.gather.onTimer(std::chrono::steady_clock::now()));
     };
-    auto owned = std::make_unique<ActiveRequest>(m_loop, std::move(plan), m_environment,
+    auto owned = std::make_unique<ActiveRequest>(m_loop, plan, m_environment,
                                                  m_settings.checks.gather, onTimer);
     ActiveRequest &request = *owned;
     request.caller = &caller;
@@ -176,12 +149,6 @@
     request.head = m_messages.head(arrival.request);
     request.body = std::move(arrival.request.body);
     request.readAt = arrival.readAt;
-    request.deadline = deadline;
-    request.hedgeDelay = hedgeDelay;
-    request.usualTime = m_latencies.usual(route);
-    const auto needed
-        = std::chrono::duration_cast<Duration>(request.usualTime * m_settings.usualTimesNeeded);
-    request.urgency = {route.priority, arrival.readAt, answerBy - needed};
     m_requests[&caller] = std::move(owned);
     carryOut(request, request.gather.start(now));
 }
@@ -263,7 +230,7 @@
             m_report.onBackendSound(exchange.link->record());
         }
         exchange.link->limit().onReply(exchange.sentAt, now, exchange.route->latencyObjective);
-        m_latencies.add(*exchange.route, time);
+        m_planner.onReply(*exchange.route, time);
     } else {
         noteFailure(exchange, reply.why, now);
     }
@@ -367,7 +334,7 @@
             continue;
         }
         noteFailure(*exchange, "no reply in time", now);
-        m_latencies.add(*exchange->route, now - exchange->sentAt);
+        m_planner.onReply(*exchange->route, now - exchange->sentAt);
         exchange->link->cancel(exchange->connection);
         m_exchanges.erase(exchange);
     }
--- a/src/Pimentoward/Request/Forwarder.h
+++ b/src/Pimentoward/Request/Forwarder.h
@@ -4,14 +4,11 @@
 #include "Pimentoward/Connection/CallerConnection.h"
 #include "Pimentoward/Connection/ForwardHeaders.h"
 #include "Pimentoward/Request/ActiveRequest.h"
-#include "Pimentoward/Request/AnswerTiming.h"
 #include "Pimentoward/Request/BackendChooser.h"
 #include "Pimentoward/Request/ForwardMessages.h"
+#include "Pimentoward/Request/RequestPlanner.h"
 #include "Pimentoward/Request/RequestReport.h"
-#include "Pimentoward/Request/RouteLatencies.h"
 #include "Pimentoward/Request/SharedRetryBudget.h"
-#include "Pimentoward/Request/UrgencyQueue.h"
-#include "Pimentoward/Request/WeightedTurns.h"
 
 #include <list>
 #include <memory>
@@ -51,13 +48,7 @@
     SharedRetryBudget::Settings retryBudget;
     BackendFleet::Settings fleet;
     BackendChooser::Settings chooser;
-    AnswerTiming::Settings timing;
-    RouteLatencies::Settings latencies;
-    /// A part that is sent within this many of its usual times before the answer is due is expected
-    /// to miss it.
-    double usualTimesNeeded = 2;
-    /// A request that finds no room is refused after this share of its route's objective.
-    double refuseShare = 0.2;
+    RequestPlanner::Settings plans;
     /// How long work goes on at backend servers after its request was answered, so that the
     /// connection can be used again.
     Duration lateReplyTime = std::chrono::milliseconds(400);
@@ -116,7 +107,6 @@
     void refuse(CallerConnection &caller, const RequestId &id, int status, const char *why);
     void begin(CallerConnection &caller, CallerConnection::Arrival arrival, const Route &route,
                const RequestId &id);
-    GatherPlan planFor(const Route &route, const CallerConnection::Arrival &arrival);
     void carryOut(ActiveRequest &request, GatherActions actions);
     void send(ActiveRequest &request, const GatherSend &send);
     void onExchangeEnded(Exchanges::iterator exchange, ExchangeEnd end, HttpReplyMessage reply);
@@ -146,9 +136,7 @@
     std::vector<MemberId> m_members;
     BackendFleet m_fleet;
     BackendChooser m_chooser;
-    AnswerTiming m_timing;
-    RouteLatencies m_latencies;
-    WeightedTurns m_turns;
+    RequestPlanner m_planner;
     Gather::Environment m_environment;
     std::unordered_map<ServiceName, SharedRetryBudget> m_budgets;
     std::unordered_map<CallerConnection *, std::unique_ptr<ActiveRequest>> m_requests;
--- /dev/null
+++ b/src/Pimentoward/Request/RequestPlanner.cpp
@@ -0,0 +1,44 @@
+#include "Pimentoward/Request/RequestPlanner.h"
+
+namespace pimentoward {
+
+RequestPlanner::RequestPlanner(const Settings &settings)
+    : m_settings(settings)
+    , m_timing(settings.timing)
+    , m_latencies(settings.latencies)
+{ }
+
+RequestPlan RequestPlanner::plan(const Route &route, const Arrival &arrival)
+{
+    RequestPlan plan;
+    plan.gather = gatherPlan(route, arrival);
+    plan.usualTime = m_latencies.usual(route);
+    const Duration needed = scaled(plan.usualTime, m_settings.usualTimesNeeded);
+    plan.urgency = {route.priority, arrival.readAt, plan.gather.answerBy - needed};
+    return plan;
+}
+
+GatherPlan RequestPlanner::gatherPlan(const Route &route, const Arrival &arrival)
+{
+    GatherPlan plan;
+    plan.isFanout = route.isFanout();
+    plan.isIdempotent = route.isIdempotent || plan.isFanout;
+    if (plan.isFanout) {
+        plan.parts = route.shards;
+    } else {
+        plan.parts = {m_turns.next(route)};
+    }
+    plan.maxAttempts = route.maxAttempts;
+    plan.leastCoverage = route.leastCoverage;
+    plan.topRecords = route.topRecords;
+    const AnswerTiming::Moments moments
+        = m_timing.moments({arrival.readAt, arrival.timeLeft.value_or(route.timeout), route.timeout,
+                            route.latencyObjective, arrival.isFirstOnConnection});
+    plan.answerBy = moments.answerBy;
+    plan.deadline = moments.deadline;
+    plan.refuseBy = arrival.readAt + scaled(route.latencyObjective, m_settings.refuseShare);
+    plan.hedgeDelay = m_latencies.hedgeDelay(route);
+    return plan;
+}
+
+} // namespace pimentoward
--- a/src/Pimentoward/Request/RouteLatencies.cpp
+++ b/src/Pimentoward/Request/RouteLatencies.cpp
@@ -8,11 +8,6 @@
 
 constexpr double medianPercent = 50;
 
-Duration scaled(Duration time, double factor)
-{
-    return std::chrono::duration_cast<Duration>(time * factor);
-}
-
 } // namespace
 
 RouteLatencies::RouteLatencies()
--- a/standins/KeyValueServer.cpp
+++ b/standins/KeyValueServer.cpp
@@ -1,6 +1,6 @@
 #include "standins/KeyValueServer.h"
 
-#include "platform/Base64.h"
+#include "Pimentoward/Core/Base64.h"
 
 #include <nlohmann/json.hpp>
 
@@ -28,7 +28,7 @@
 Json itemJson(const StoreItem &item)
 {
     return {{"key", item.key},
-            {"value", platform::toBase64(item.value)},
+            {"value", toBase64(item.value)},
             {"revision", item.revision},
             {"createdRev", item.revision},
             {"lease", item.lease}};
@@ -214,7 +214,7 @@
             return answerOf(Json::object(), statusForbidden);
         }
         transaction.writes.push_back(
-            {key, platform::fromBase64(entry.value("value", "")), entry.value("lease", 0UL)});
+            {key, fromBase64(entry.value("value", "")), entry.value("lease", 0UL)});
     }
     for (const Json &entry : body.value("remove", Json::array())) {
         transaction.removals.push_back(entry.get<std::string>());
--- a/standins/ServerFaults.cpp
+++ b/standins/ServerFaults.cpp
@@ -75,6 +75,14 @@
     }
 }
 
+void ServerFaults::spoil(ShardServer &server, ShardServer::FaultHook hook)
+{
+    server.changeFault(std::move(hook));
+    m_hooks.undoLater([&server] {
+        server.changeFault([](const HttpRequestMessage &) { return ShardServer::Fault::None; });
+    });
+}
+
 void ServerFaults::spoilReplies()
 {
     using Fault = ShardServer::Fault;
@@ -86,12 +94,9 @@
     for (unsigned left = 1 + m_hooks.draw(mostSpoiled); left > 0; --left) {
         ShardServer &server = drawServer();
         m_hooks.note(server.settings().id + " fault " + std::to_string(static_cast<int>(fault)));
-        server.changeFault([this, fault](const HttpRequestMessage &) {
+        spoil(server, [this, fault](const HttpRequestMessage &) {
             return m_hooks.draw(2) == 0 ? fault : Fault::None;
         });
-        m_hooks.undoLater([&server] {
-            server.changeFault([](const HttpRequestMessage &) { return Fault::None; });
-        });
     }
 }
 
@@ -109,10 +114,7 @@
         }
         m_hooks.note(service + " fails whole, fault " + std::to_string(static_cast<int>(fault)));
         for (ShardServer *server : m_site.servers(service)) {
-            server->changeFault([fault](const HttpRequestMessage &) { return fault; });
-            m_hooks.undoLater([server] {
-                server->changeFault([](const HttpRequestMessage &) { return Fault::None; });
-            });
+            spoil(*server, [fault](const HttpRequestMessage &) { return fault; });
         }
     }
 }
--- a/standins/ServerFaults.h
+++ b/standins/ServerFaults.h
@@ -36,6 +36,8 @@
 
 private:
     ShardServer &drawServer();
+    /// Meets requests at `server` with what `hook` says, for a while.
+    void spoil(ShardServer &server, ShardServer::FaultHook hook);
     void spoilReplies();
     /// Lets all backend servers of most services fail at once.
     void loseShards();
--- a/standins/ShardServer.cpp
+++ b/standins/ShardServer.cpp
@@ -134,7 +134,6 @@
 void ShardServer::accept(int socket)
 {
     if (m_peers.size() >= m_settings.maxConnections) {
-        ++m_resetOverLimit;
         const linger atOnce {1, 0};
         setsockopt(socket, SOL_SOCKET, SO_LINGER, &atOnce, sizeof(atOnce));
         evutil_closesocket(socket);
--- a/standins/ShardServer.h
+++ b/standins/ShardServer.h
@@ -100,7 +100,6 @@
     const std::vector<Run> &runs() const { return m_runs; }
     /// Requests that came, also those that were not run.
     std::uint64_t arrivals() const { return m_arrivals; }
-    std::uint64_t resetOverLimit() const { return m_resetOverLimit; }
     std::size_t mostConnections() const { return m_mostConnections; }
     std::size_t busy() const { return m_working; }
 
@@ -135,7 +134,6 @@
     std::deque<std::pair<Peer *, HttpRequestMessage>> m_queued;
     std::vector<Run> m_runs;
     std::uint64_t m_arrivals = 0;
-    std::uint64_t m_resetOverLimit = 0;
     std::size_t m_mostConnections = 0;
     std::size_t m_working = 0;
     SteadyTime m_pausedUntil {};
--- a/tests/Process/TierRulesTest.cpp
+++ b/tests/Process/TierRulesTest.cpp
@@ -1,11 +1,11 @@
+#include "tests/support/TierRules.h"
 #include "platform/WireNames.h"
 #include "standins/SiteChecker.h"
-#include "tests/support/TierWorld.h"
 
 #include <catch2/catch.hpp>
 
 #include <algorithm>
-#include <random>
+#include <map>
 
 using namespace pimentoward;
 using namespace pimentoward::standins;
@@ -18,22 +18,6 @@
 
 using Fault = ShardServer::Fault;
 
-TierWorld::Request request(const std::string &path, std::size_t vm = 0)
-{
-    TierWorld::Request request;
-    request.path = path;
-    request.vm = vm;
-    return request;
-}
-
-/// A world in which all VMs have one check of theirs on or off.
-TierWorld::Settings settingsWith(bool ForwarderChecks::*check, bool isOn)
-{
-    TierWorld::Settings settings;
-    settings.adjust = [=](ServingTaskSettings &serving) { serving.forwarder.checks.*check = isOn; };
-    return settings;
-}
-
 /// How often each request of `service` was run, by request id.
 std::map<std::string, int> runsOf(TierWorld &world, const std::string &service)
 {
@@ -46,18 +30,6 @@
     return runs;
 }
 
-/// Meets each share of requests with a fault drawn from `faults`.
-void addFaults(TierWorld &world, const std::vector<Fault> &faults, double share)
-{
-    const auto random = std::make_shared<std::mt19937>(7);
-    for (ShardServer *server : world.site().allServers()) {
-        server->changeFault([random, faults, share](const HttpRequestMessage &) {
-            const bool isMet = std::uniform_real_distribution<double>(0, 1)(*random) < share;
-            return isMet ? faults[(*random)() % faults.size()] : Fault::None;
-        });
-    }
-}
-
 /// Successes whose content is not what their request asked for.
 std::size_t wrongSuccesses(TierWorld &world, std::size_t requests)
 {
@@ -163,93 +135,6 @@
     CHECK((untrue == 0) == isTrue);
 }
 
-TEST_CASE("BUDGET: hedges and retries of all VMs keep their common bound", "[rules]")
-{
-    const bool isOn = GENERATE(true, false);
-    constexpr double ratio = 0.2;
-    constexpr double slack = 6;
-    TierWorld::Settings settings;
-    settings.vms = 2;
-    settings.adjust = [&](ServingTaskSettings &serving) {
-        serving.forwarder.retryBudget.ratio = ratio;
-        serving.forwarder.retryBudget.fixedForAll = slack;
-        serving.forwarder.checks.gather.budget = isOn;
-    };
-    TierWorld world(settings);
-    REQUIRE(world.waitUntilKnown());
-    addFaults(world, {Fault::LostReply, Fault::Shed, Fault::Failure}, 0.6);
-    constexpr int requests = 100;
-    for (int index = 0; index < requests; ++index) {
-        world.send(request("/all/x", static_cast<std::size_t>(index % 2)));
-        world.run(5ms);
-    }
-    world.runUntilEnded();
-    bool isKept = true;
-    for (std::size_t shard = 0; shard < 5; ++shard) {
-        std::uint64_t arrivals = 0;
-        for (const ShardServer *server : world.site().servers(Site::shardName(shard))) {
-            arrivals += server->arrivals();
-        }
-        isKept = isKept && static_cast<double>(arrivals) <= requests * (1 + ratio) + slack;
-    }
-    CHECK(isKept == isOn);
-}
-
-TEST_CASE("BUDGET: backend servers are handed no more time than is left", "[rules]")
-{
-    const bool isOn = GENERATE(true, false);
-    TierWorld::Settings settings = settingsWith(&ForwarderChecks::timeLeft, isOn);
-    // Enough of them, and few requests, so that none waits in a queue before it runs.
-    settings.site.singles = 6;
-    TierWorld world(settings);
-    REQUIRE(world.waitUntilKnown());
-    // Replies are lost after a while; what is sent again has that much less time.
-    addFaults(world, {Fault::LostReply}, 0.5);
-    for (ShardServer *server : world.site().allServers()) {
-        server->changeWorkTime(150ms);
-    }
-    constexpr std::chrono::milliseconds given {600};
-    std::map<std::string, SteadyTime> sentAt;
-    for (int index = 0; index < 12; ++index) {
-        TierWorld::Request sent = request("/one/x");
-        sent.timeLeft = given;
-        const SteadyTime now = std::chrono::steady_clock::now();
-        sentAt[world.send(sent).requestId] = now;
-        world.run(80ms);
-    }
-    world.runUntilEnded();
-    bool isKept = true;
-    for (const ShardServer *server : world.site().allServers()) {
-        for (const ShardServer::Run &run : server->runs()) {
-            const SteadyTime until = run.started + run.timeLeft;
-            isKept = isKept && until <= sentAt.at(run.requestId) + given + 50ms;
-        }
-    }
-    CHECK(isKept == isOn);
-}
-
-TEST_CASE("GONE: work for a caller that has left ends within half a second", "[rules]")
-{
-    const bool isOn = GENERATE(true, false);
-    TierWorld world(settingsWith(&ForwarderChecks::callerGone, isOn));
-    REQUIRE(world.waitUntilKnown());
-    for (ShardServer *server : world.site().allServers()) {
-        server->changeWorkTime(3s);
-    }
-    TierWorld::Request sent = request("/one/x");
-    sent.timeLeft = 4s;
-    sent.leaveAfter = 100ms;
-    world.send(sent);
-    sent.path = "/all/x";
-    world.send(sent);
-    world.run(600ms);
-    std::size_t busy = 0;
-    for (const ShardServer *server : world.site().allServers()) {
-        busy += server->busy();
-    }
-    CHECK((busy == 0) == isOn);
-}
-
 TEST_CASE("DRAIN: a backend server that is leaving gets nothing new", "[rules]")
 {
     const bool isOn = GENERATE(true, false);
@@ -287,48 +172,6 @@
     CHECK(server.arrivals() > before);
 }
 
-TEST_CASE("FAILBACK: a cold backend server gets no more in a second than it bears", "[rules]")
-{
-    const bool isOn = GENERATE(true, false);
-    constexpr double perSecond = 4;
-    constexpr double ratio = 1.5;
-    constexpr double slack = 2;
-    TierWorld::Settings settings;
-    settings.vms = 2;
-    settings.site.coldRequestsPerSecond = perSecond;
-    settings.adjust = [=](ServingTaskSettings &serving) {
-        serving.forwarder.fleet.cold.ratio = ratio;
-        serving.forwarder.fleet.cold.fixedForAll = slack;
-        serving.forwarder.checks.coldLimit = isOn;
-    };
-    TierWorld world(settings);
-    REQUIRE(world.waitUntilKnown());
-    ShardServer &cold = *world.site().servers("single").front();
-    world.site().registerServer(cold, "a", "ready", 10s);
-    world.run(500ms);
-    const std::size_t before = cold.runs().size();
-    for (int index = 0; index < 200; ++index) {
-        world.send(request("/one/x", static_cast<std::size_t>(index % 2)));
-        world.run(10ms);
-    }
-    world.runUntilEnded();
-    std::size_t most = 0;
-    for (std::size_t first = before; first < cold.runs().size(); ++first) {
-        std::size_t count = 0;
-        while (first + count < cold.runs().size()
-               && cold.runs()[first + count].started < cold.runs()[first].started + 1s) {
-            ++count;
-        }
-        most = std::max(most, count);
-    }
-    CHECK((static_cast<double>(most) <= perSecond * ratio + slack) == isOn);
-    // It is used within its bound, and nothing is refused for it.
-    CHECK(most > 0);
-    for (const TierWorld::Outcome &outcome : world.outcomes()) {
-        CHECK(outcome.status == 200);
-    }
-}
-
 TEST_CASE("ROUTE: an address that another service has taken over runs nothing of the former one",
           "[rules]")
 {
@@ -345,40 +188,13 @@
     CHECK((outcome.status == 503) == isOn);
 }
 
-TEST_CASE("BUDGET: an address that another service has taken over gets no more than one try",
-          "[rules]")
-{
-    const bool isOn = GENERATE(true, false);
-    TierWorld world(settingsWith(&ForwarderChecks::misdirected, isOn));
-    REQUIRE(world.waitUntilKnown());
-    // The VM does not hear of it, as one that is cut off from the store.
-    ShardServer &server = *world.site().servers("single").front();
-    server.changeId("other-1");
-    for (int index = 0; index < 60; ++index) {
-        world.send(request("/one/x"));
-        world.run(20ms);
-    }
-    world.runUntilEnded();
-    CHECK((server.arrivals() <= 1) == isOn);
-    CHECK(server.runs().empty());
-    // Its record names a new run there: it is asked again.
-    server.changeId("single-0");
-    world.store().put(std::string(platform::wire::backendPrefix) + "single-0",
-                      R"({"service":"single","address":")" + server.address().toString()
-                          + R"(","zone":"a","maxConcurrency":3,"state":"ready","born":2})");
-    world.run(500ms);
-    for (int index = 0; index < 20; ++index) {
-        CHECK(world.ask(request("/one/x")).status == 200);
-    }
-    CHECK_FALSE(server.runs().empty());
-}
-
 TEST_CASE("CONFIG: a request that outlasts its route's time is answered then", "[rules]")
 {
     const bool isOn = GENERATE(true, false);
     TierWorld::Settings settings;
-    settings.adjust
-        = [isOn](ServingTaskSettings &serving) { serving.forwarder.timing.endsAtTimeout = isOn; };
+    settings.adjust = [isOn](ServingTaskSettings &serving) {
+        serving.forwarder.plans.timing.endsAtTimeout = isOn;
+    };
     TierWorld world(settings);
     REQUIRE(world.waitUntilKnown());
     for (ShardServer *server : world.site().allServers()) {
--- a/tests/Process/TierStoreTest.cpp
+++ b/tests/Process/TierStoreTest.cpp
@@ -1,5 +1,5 @@
 #include "platform/WireNames.h"
-#include "tests/support/TierWorld.h"
+#include "tests/support/TierRules.h"
 
 #include <catch2/catch.hpp>
 
@@ -9,25 +9,13 @@
 
 // What holds while the store changes, fails, or tells nonsense, and while VMs come and go.
 
-namespace {
-
-TierWorld::Request request(const std::string &path, std::size_t vm = 0)
-{
-    TierWorld::Request request;
-    request.path = path;
-    request.vm = vm;
-    return request;
-}
-
-} // namespace
-
 TEST_CASE("CONFIG: a new version is in force everywhere at once and never goes back", "[rules]")
 {
     const bool isOn = GENERATE(true, false);
     TierWorld::Settings settings;
     settings.vms = 2;
     settings.adjustDiscovery
-        = [isOn](Discovery::Settings &discovery) { discovery.onlyForward = isOn; };
+        = [isOn](Discovery::Settings &discovery) { discovery.records.onlyForward = isOn; };
     TierWorld world(settings);
     REQUIRE(world.waitUntilKnown());
     CHECK(world.ask(request("/added/x")).status == 404);
--- a/tests/platform/PlatformSettingsTest.cpp
+++ b/tests/platform/PlatformSettingsTest.cpp
@@ -1,4 +1,5 @@
 #include "platform/PlatformSettings.h"
+#include "Pimentoward/Core/FileText.h"
 
 #include <catch2/catch.hpp>
 
@@ -84,7 +85,7 @@
     CHECK_FALSE(platform::readSettings("nodeName = ", reason).has_value());
     CHECK(reason.code == ResultCode::InvalidSetting);
     CHECK_FALSE(reason.text.empty());
-    CHECK_FALSE(platform::readFile("/nowhere/at/all.toml", reason).has_value());
+    CHECK_FALSE(readFile("/nowhere/at/all.toml", reason).has_value());
 }
 
 TEST_CASE("Bounds that make no sense are brought within what does")
--- a/tests/platform/RecordReaderTest.cpp
+++ b/tests/platform/RecordReaderTest.cpp
@@ -1,5 +1,4 @@
 #include "platform/RecordReader.h"
-#include "platform/Base64.h"
 
 #include <catch2/catch.hpp>
 
@@ -93,16 +92,3 @@
         }
     }
 }
-
-TEST_CASE("Base64 gives back what it was made from")
-{
-    std::mt19937 random(9);
-    for (std::size_t size = 0; size < 300; ++size) {
-        std::string bytes(size, '\0');
-        for (char &byte : bytes) {
-            byte = static_cast<char>(random());
-        }
-        CHECK(platform::fromBase64(platform::toBase64(bytes)) == bytes);
-    }
-    CHECK(platform::toBase64("node-1") == "bm9kZS0x");
-}
--- /dev/null
+++ b/tests/support/MembershipFakeChecks.cpp
@@ -0,0 +1,57 @@
+#include "tests/support/MembershipFake.h"
+
+#include <algorithm>
+#include <sstream>
+
+namespace pimentoward::tests {
+
+using std::chrono::milliseconds;
+
+bool MembershipFake::hasContact(const Vm &vm) const
+{
+    return vm.isRunning && m_now >= vm.frozenUntil && localTime(vm) < vm.contactUntil;
+}
+
+void MembershipFake::check()
+{
+    bool anyContact = false;
+    for (auto &[id, vm] : m_vms) {
+        if (!hasContact(vm)) {
+            continue;
+        }
+        anyContact = true;
+        for (const auto &[server, until] : vm.ownedUntil) {
+            if (localTime(vm) < until) {
+                m_owned += 1;
+                m_lastOwned[server] = m_now;
+                checkDispatch(id, vm, server);
+            }
+        }
+    }
+    for (const auto &[server, domain] : m_servers) {
+        m_longestGap = std::max(m_longestGap, m_now - m_lastOwned[server]);
+    }
+    m_inContact += anyContact ? 1 : 0;
+    m_steps += 1;
+    m_checked += static_cast<double>(m_servers.size());
+}
+
+void MembershipFake::checkDispatch(const MemberId &id, Vm &vm, const BackendServerId &server)
+{
+    vm.workUntil[server] = m_now + m_settings.membership.longestDispatch;
+    for (const auto &[otherId, other] : m_vms) {
+        const auto work = other.workUntil.find(server);
+        if (otherId == id || work == other.workUntil.end() || m_now >= work->second) {
+            continue;
+        }
+        ++m_result.violations;
+        if (m_result.firstViolation.empty()) {
+            std::ostringstream text;
+            text << server << ": " << id << " may dispatch while work of " << otherId
+                 << " may be there, at " << m_now / milliseconds(1) << " ms";
+            m_result.firstViolation = text.str();
+        }
+    }
+}
+
+} // namespace pimentoward::tests
--- /dev/null
+++ b/tests/support/TierRules.cpp
@@ -0,0 +1,35 @@
+#include "tests/support/TierRules.h"
+
+#include <memory>
+#include <random>
+
+using namespace pimentoward;
+using namespace pimentoward::standins;
+
+using Fault = ShardServer::Fault;
+
+TierWorld::Request request(const std::string &path, std::size_t vm)
+{
+    TierWorld::Request request;
+    request.path = path;
+    request.vm = vm;
+    return request;
+}
+
+TierWorld::Settings settingsWith(bool ForwarderChecks::*check, bool isOn)
+{
+    TierWorld::Settings settings;
+    settings.adjust = [=](ServingTaskSettings &serving) { serving.forwarder.checks.*check = isOn; };
+    return settings;
+}
+
+void addFaults(TierWorld &world, const std::vector<Fault> &faults, double share)
+{
+    const auto random = std::make_shared<std::mt19937>(7);
+    for (ShardServer *server : world.site().allServers()) {
+        server->changeFault([random, faults, share](const HttpRequestMessage &) {
+            const bool isMet = std::uniform_real_distribution<double>(0, 1)(*random) < share;
+            return isMet ? faults[(*random)() % faults.size()] : Fault::None;
+        });
+    }
+}
