Tests: one ctest entry per case, and addresses that no other process uses

Change: catch_discover_tests; an entry that matches no case fails (--warn NoTests), because CMake splits titles at semicolons, so five titles lost theirs. The loopback host comes from the process ID in one place, and the ports of VMs are counted up below the range of outgoing connections.

--- a/tests/Connection/OwnerTest.cpp
+++ b/tests/Connection/OwnerTest.cpp
@@ -6,13 +6,12 @@
 #include "Pimentoward/Process/PreciseLoop.h"
 #include "standins/BackendServerProcess.h"
 #include "standins/Deployment.h"
+#include "tests/support/LoopbackHost.h"
 
 #include <catch2/catch.hpp>
 #include <event2/event.h>
 #include <nlohmann/json.hpp>
 
-#include <unistd.h>
-
 #include <algorithm>
 #include <random>
 
@@ -29,10 +28,7 @@
         : m_loop(newPreciseLoop())
     {
         standins::Deployment deployment;
-        const int process = static_cast<int>(getpid());
-        deployment.failureDomains.push_back({"a",
-                                             "127.200." + std::to_string(process / 250 % 250) + "."
-                                                 + std::to_string(process % 250 + 1)});
+        deployment.failureDomains.push_back({"a", loopbackHost(1)});
         standins::ServiceSpec serviceSpec;
         serviceSpec.name = "coach-app";
         serviceSpec.recordKind = "badges";
--- a/tests/Discovery/FeedChooserTest.cpp
+++ b/tests/Discovery/FeedChooserTest.cpp
@@ -52,7 +52,7 @@
 
 } // namespace
 
-TEST_CASE("With few VMs each asks the store; with many, only one per failure domain does")
+TEST_CASE("With few VMs each asks the store, and with many, only one per failure domain does")
 {
     CHECK(countDirectVms(choosers(7), start) == 7);
     CHECK(countDirectVms(choosers(12), start) == 12);
--- a/tests/Discovery/FeedMessagesTest.cpp
+++ b/tests/Discovery/FeedMessagesTest.cpp
@@ -79,7 +79,8 @@
     }
 }
 
-TEST_CASE("Decoding a VM's record returns the member that was encoded; any other text is rejected")
+TEST_CASE(
+    "Decoding a VM's record returns the member that was encoded, and any other text is rejected")
 {
     const FeedChooser::Member member {"vm-1", "a", {"10.0.0.1", 7395}, 25};
     Reason reason;
--- a/tests/Process/OperatorApiTest.cpp
+++ b/tests/Process/OperatorApiTest.cpp
@@ -6,11 +6,11 @@
 #include "Pimentoward/Process/Metrics.h"
 #include "Pimentoward/Process/OperatorSettings.h"
 #include "standins/PlatformServer.h"
+#include "tests/support/LoopbackHost.h"
 
 #include <catch2/catch.hpp>
 #include <event2/event.h>
 #include <nlohmann/json.hpp>
-#include <unistd.h>
 
 using namespace pimentoward;
 
@@ -18,17 +18,6 @@
 
 using Json = nlohmann::json;
 
-/// Returns a loopback address that depends on the process ID, so that test processes which run at
-/// the same time do not share ports.
-std::string loopbackHost()
-{
-    constexpr int nets = 60;
-    constexpr int subnets = 256;
-    const int process = static_cast<int>(getpid());
-    return "127." + std::to_string(2 + process % nets) + "."
-        + std::to_string(process / nets % subnets) + ".1";
-}
-
 SettingsSyncSettings settingsSyncSettings()
 {
     SettingsSyncSettings settings;
@@ -57,11 +46,11 @@
                    return scope == ExceptionScope::OneService ? std::vector<std::string>()
                                                               : std::vector<std::string> {"a", "b"};
                }})
-        , client(loopHolder.loop, {loopbackHost(), 2})
+        , client(loopHolder.loop, {loopbackHost(1), 2})
     {
         Reason reason;
-        REQUIRE(platform.listen({loopbackHost(), 1}, reason));
-        REQUIRE(http.listen({loopbackHost(), 2}, reason));
+        REQUIRE(platform.listen({loopbackHost(1), 1}, reason));
+        REQUIRE(http.listen({loopbackHost(1), 2}, reason));
         driver.updateMembers({"vm-1"});
         tickTimer.startRepeating(std::chrono::milliseconds(20));
         while (!driver.isReady()) {
@@ -99,7 +88,7 @@
     LoopHolder loopHolder;
     SystemClock clock;
     standins::PlatformServer platform {loopHolder.loop};
-    HttpStore store {loopHolder.loop, {loopbackHost(), 1}, std::chrono::milliseconds(100)};
+    HttpStore store {loopHolder.loop, {loopbackHost(1), 1}, std::chrono::milliseconds(100)};
     SettingsSyncDriver driver {
         settingsSyncSettings(),
         store,
--- a/tests/platform/PlatformSettingsTest.cpp
+++ b/tests/platform/PlatformSettingsTest.cpp
@@ -38,7 +38,7 @@
 } // namespace
 
 TEST_CASE(
-    "The platform's settings file is read into the tier's settings; unknown fields are ignored")
+    "The platform's settings file is read into the tier's settings, and unknown fields are ignored")
 {
     Reason reason;
     const auto settings = platform::readSettings(settingsText, reason);
@@ -56,7 +56,7 @@
     CHECK(settings->process.discovery.feed.address.toString() == "10.1.0.9:7395");
 }
 
-TEST_CASE("Limits for cold backend servers are read; only some changes need a restart")
+TEST_CASE("Limits for cold backend servers are read, and only some changes need a restart")
 {
     Reason reason;
     const auto before = platform::readSettings(settingsText, reason);
--- a/tests/standins/DirectFanoutTest.cpp
+++ b/tests/standins/DirectFanoutTest.cpp
@@ -2,25 +2,21 @@
 #include "Pimentoward/Process/PreciseLoop.h"
 #include "standins/BackendServerProcess.h"
 #include "standins/Deployment.h"
+#include "tests/support/LoopbackHost.h"
 
 #include <catch2/catch.hpp>
 #include <event2/event.h>
-#include <unistd.h>
 
 using namespace pimentoward;
 using namespace pimentoward::standins;
 
 namespace {
 
-/// A service of four shards with one replica each and one slot per replica. The address depends on
-/// the process ID, so that tests that run at the same time do not share it.
+/// A service of four shards with one replica each and one slot per replica.
 Deployment smallDeployment()
 {
     Deployment deployment;
-    const auto process = static_cast<unsigned>(getpid());
-    const std::string host = "127.192." + std::to_string(process % 250) + "."
-        + std::to_string(process / 250 % 250 + 1);
-    deployment.failureDomains.push_back({"a", host});
+    deployment.failureDomains.push_back({"a", loopbackHost(1)});
     ServiceSpec serviceSpec;
     serviceSpec.name = "coach-app";
     serviceSpec.recordKind = "badges";
--- a/tests/standins/RelayTest.cpp
+++ b/tests/standins/RelayTest.cpp
@@ -1,10 +1,10 @@
 #include "standins/Relay.h"
 #include "Pimentoward/Connection/HttpConnection.h"
 #include "Pimentoward/Process/PreciseLoop.h"
+#include "tests/support/LoopbackHost.h"
 
 #include <catch2/catch.hpp>
 #include <event2/event.h>
-#include <unistd.h>
 
 using namespace pimentoward;
 using namespace pimentoward::standins;
@@ -14,13 +14,6 @@
 
 const SteadyTime start {};
 
-std::string host()
-{
-    const auto process = static_cast<unsigned>(getpid());
-    return "127.193." + std::to_string(process % 250) + "."
-        + std::to_string(process / 250 % 250 + 1);
-}
-
 /// Sends a call, runs the event loop until the call ends, and returns its result.
 ResultCode call(event_base *loop, HttpConnection &connection, const HttpCall &call)
 {
@@ -81,11 +74,12 @@
             respond({200, "ok", "text/plain", {}});
         });
         Reason reason;
-        REQUIRE(server.listen({host(), 9000}, reason));
+        REQUIRE(server.listen({loopbackHost(1), 9000}, reason));
         Relay relay(loop, {1ms, 0ms, 0, 0ms}, 1);
-        REQUIRE(relay.listen({"link", {host(), 9001}, {host(), 9000}}, reason));
-        REQUIRE_FALSE(relay.listen({"again", {host(), 9000}, {host(), 9000}}, reason));
-        HttpConnection connection(loop, {host(), 9001});
+        REQUIRE(relay.listen({"link", {loopbackHost(1), 9001}, {loopbackHost(1), 9000}}, reason));
+        REQUIRE_FALSE(
+            relay.listen({"again", {loopbackHost(1), 9000}, {loopbackHost(1), 9000}}, reason));
+        HttpConnection connection(loop, {loopbackHost(1), 9001});
         const HttpCall get {"GET", "/", {}, {}, 30ms};
         const HttpCall getWithLongTimeout {"GET", "/", {}, {}, 10s};
         CHECK(call(loop, connection, getWithLongTimeout) == ResultCode::Ok);
--- a/tests/support/TestDeployment.cpp
+++ b/tests/support/TestDeployment.cpp
@@ -1,8 +1,7 @@
 #include "tests/support/TestDeployment.h"
 
 #include "Pimentoward/Connection/HttpConnection.h"
-
-#include <unistd.h>
+#include "tests/support/LoopbackHost.h"
 
 #include <future>
 #include <stdexcept>
@@ -31,11 +30,11 @@
     const std::vector<std::string> domainNames {"a", "b", "c"};
     for (std::size_t index = 0; index < failureDomainCount; ++index) {
         m_deployment.failureDomains.push_back(
-            {domainNames[index], host(firstBackendHost + static_cast<unsigned>(index))});
+            {domainNames[index], loopbackHost(firstBackendHost + static_cast<unsigned>(index))});
     }
     for (std::size_t index = 0; index < vms; ++index) {
         m_deployment.vms.push_back({"vm-" + std::to_string(index + 1),
-                                    host(firstVmHost + static_cast<unsigned>(index)),
+                                    loopbackHost(firstVmHost + static_cast<unsigned>(index)),
                                     domainNames[index % failureDomainCount], false});
     }
     standins::ServiceSpec serviceSpec;
@@ -67,24 +66,12 @@
     m_standinTask.stop();
 }
 
-std::string TestDeployment::host(unsigned number) const
-{
-    // Loopback has 2^24 addresses. The process ID selects the second and third byte, so that test
-    // processes that run at the same time use different addresses.
-    constexpr int minSecondByte = 64;
-    constexpr int secondBytes = 128;
-    constexpr int thirdBytes = 256;
-    const int process = static_cast<int>(getpid());
-    return "127." + std::to_string(minSecondByte + process % secondBytes) + "."
-        + std::to_string(process / secondBytes % thirdBytes) + "." + std::to_string(number);
-}
-
 void TestDeployment::startStandins()
 {
     constexpr IndexVersion version = 1;
     Reason reason;
     m_platform = std::make_unique<standins::PlatformServer>(m_standinTask.loop());
-    require(m_platform->listen({host(platformHost), platformPort}, reason), reason);
+    require(m_platform->listen({loopbackHost(platformHost), platformPort}, reason), reason);
     for (const VmRecord &vm : m_deployment.vms) {
         m_platform->store().putVm(vm);
     }
@@ -114,11 +101,11 @@
     query.requestPrefix = record.id;
     query.callerListen = vm.callerAddress;
     query.peerListen = {record.host, callerPort + 2};
-    query.platform = {host(platformHost), platformPort};
+    query.platform = {loopbackHost(platformHost), platformPort};
     vm.query = std::make_unique<QueryTask>(query, m_clock);
     ControlTaskSettings control;
     control.self = {record.id, record.host, record.failureDomain};
-    control.platform = {host(platformHost), platformPort};
+    control.platform = {loopbackHost(platformHost), platformPort};
     control.operatorListen = {record.host, callerPort + 1};
     control.peerListen = {record.host, callerPort + 3};
     QueryTask *queryTask = vm.query.get();
--- a/tests/support/TestDeployment.h
+++ b/tests/support/TestDeployment.h
@@ -49,8 +49,6 @@
         std::unique_ptr<ControlTask> control;
     };
 
-    /// Returns the loopback address of a host, by its number in the deployment.
-    std::string host(unsigned number) const;
     void startStandins();
     void startVm(const VmRecord &record);
 
--- a/tests/support/TierFixture.cpp
+++ b/tests/support/TierFixture.cpp
@@ -3,12 +3,10 @@
 #include "Pimentoward/Process/PreciseLoop.h"
 #include "platform/RecordReader.h"
 #include "platform/WireNames.h"
+#include "tests/support/LoopbackHost.h"
 #include "tests/support/ScriptedServer.h"
 
 #include <event2/event.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 using namespace pimentoward;
 using namespace pimentoward::standins;
@@ -16,28 +14,12 @@
 
 namespace {
 
-/// Returns a loopback address with a port that is free at this moment.
-Address freeAddress()
-{
-    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in local {};
-    local.sin_family = AF_INET;
-    local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    if (bind(socket, reinterpret_cast<sockaddr *>(&local), sizeof(local)) != 0) {
-        throw std::runtime_error("cannot bind a socket to a free loopback port");
-    }
-    socklen_t size = sizeof(local);
-    getsockname(socket, reinterpret_cast<sockaddr *>(&local), &size);
-    ::close(socket);
-    return {"127.0.0.1", ntohs(local.sin_port)};
-}
-
 ServingTaskSettings servingSettings(const std::string &name, const std::string &domain,
                                     const TierNode::Adjust &adjust)
 {
     ServingTaskSettings settings;
-    settings.callerListen = freeAddress();
-    settings.readyListen = freeAddress();
+    settings.callerListen = unusedAddress();
+    settings.readyListen = unusedAddress();
     settings.readyPath = platform::wire::readyPath;
     settings.forwarder.headers = platform::wire::headerNames();
     settings.forwarder.failureDomain = domain;
@@ -53,7 +35,7 @@
     Discovery::Settings settings;
     settings.feed.self = name;
     settings.feed.failureDomain = domain;
-    settings.feed.address = freeAddress();
+    settings.feed.address = unusedAddress();
     settings.registration.key = platform::wire::memberPrefix + name;
     settings.registration.timeToLive = 2s;
     settings.registration.renewPeriod = 500ms;
