Soak: records depend on the whole request ID, and replies can state more

Change: a record is a hash of service, request ID and index; the checker now compares the whole body with the greatest records of the parts that are named. The stand-in can also say that it is leaving, refuse with Retry-After, and send a reply without an end.

--- a/standins/ShardServer.cpp
+++ b/standins/ShardServer.cpp
@@ -8,6 +8,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <xxhash.h>
 
 #include <algorithm>
 #include <cstdlib>
@@ -22,7 +23,6 @@
 constexpr int statusFailed = 500;
 constexpr int statusUnavailable = 503;
 constexpr const char *healthPath = "/health";
-constexpr std::size_t recordBytes = 16;
 
 } // namespace
 
@@ -33,6 +33,8 @@
     bufferevent *stream = nullptr;
     HttpReader reader {HttpReader::Direction::Requests, {}};
     bool isBusy = false;
+    /// True once a reply without an end is being sent.
+    bool isEndless = false;
 
     ~Peer()
     {
@@ -96,6 +98,7 @@
 ShardServer::ShardServer(event_base *loop, const Settings &settings)
     : m_loop(loop)
     , m_settings(settings)
+    , m_endlessTimer(loop, [this] { writeEndlessReplies(); })
 { }
 
 ShardServer::~ShardServer()
@@ -173,7 +176,8 @@
         refuse(peer, statusBadRequest);
         return;
     }
-    if (m_fault(request) == Fault::Shed || m_queued.size() >= m_settings.queue) {
+    if (!m_retryAfter.empty() || m_fault(request) == Fault::Shed
+        || m_queued.size() >= m_settings.queue) {
         refuse(peer, statusUnavailable);
         return;
     }
@@ -241,6 +245,21 @@
     begin(*peer, std::move(request));
 }
 
+std::string ShardServer::record(const std::string &service, const std::string &requestId,
+                                std::size_t index)
+{
+    constexpr std::string_view digits = "0123456789abcdef";
+    constexpr unsigned digitBits = 4;
+    const std::string content = service + '/' + requestId + '/' + std::to_string(index);
+    std::uint64_t hash = XXH64(content.data(), content.size(), 0);
+    std::string record;
+    while (record.size() < recordBytes) {
+        record += digits[hash % digits.size()];
+        hash >>= digitBits;
+    }
+    return record;
+}
+
 HttpReplyMessage ShardServer::makeReply(const std::string &requestId) const
 {
     HttpReplyMessage reply;
@@ -248,10 +267,11 @@
     reply.headers.add(m_settings.headers.requestId, requestId);
     reply.headers.add(m_settings.headers.signature,
                       m_settings.id + "." + requestId + "." + std::to_string(m_lastReply));
+    if (m_isLeaving) {
+        reply.headers.add(m_settings.headers.leaving, "1");
+    }
     for (std::size_t index = 0; index < m_settings.records; ++index) {
-        std::string record = std::to_string(index) + m_settings.service + requestId;
-        record.resize(recordBytes, '.');
-        reply.body += record;
+        reply.body += record(m_settings.service, requestId, index);
     }
     return reply;
 }
@@ -302,6 +322,11 @@
         validReply.headers.add("Content-Encoding", "gzip");
         peer.write(serialize(validReply, request.method));
         return;
+    case Fault::EndlessBody:
+        peer.write("HTTP/1.1 200 OK\r\n\r\n");
+        peer.isEndless = true;
+        m_endlessTimer.startOnce(Duration::zero());
+        return;
     case Fault::NoReply:
     case Fault::Shed:
         return;
@@ -317,9 +342,33 @@
     HttpReplyMessage reply;
     reply.status = status;
     reply.headers.add(m_settings.headers.notRun, "1");
+    if (m_isLeaving) {
+        reply.headers.add(m_settings.headers.leaving, "1");
+    }
+    if (status == statusUnavailable && !m_retryAfter.empty()) {
+        reply.headers.add("Retry-After", m_retryAfter);
+    }
     peer.write(serialize(reply, "GET"));
 }
 
+void ShardServer::writeEndlessReplies()
+{
+    constexpr std::size_t bytesPerWrite = 262'144;
+    bool hasEndless = false;
+    for (const auto &peer : m_peers) {
+        if (!peer->isEndless) {
+            continue;
+        }
+        hasEndless = true;
+        if (evbuffer_get_length(bufferevent_get_output(peer->stream)) < bytesPerWrite) {
+            peer->write(std::string(bytesPerWrite, 'x'));
+        }
+    }
+    if (hasEndless) {
+        m_endlessTimer.startOnce(std::chrono::milliseconds(1));
+    }
+}
+
 void ShardServer::onDisconnect(Peer &peer)
 {
     // The jobs of the disconnected peer end now, which frees their slots.
--- a/standins/ShardServer.h
+++ b/standins/ShardServer.h
@@ -51,7 +51,9 @@
         /// request was not run.
         Shed,
         /// Runs the request and never replies.
-        NoReply
+        NoReply,
+        /// Runs the request and sends a reply whose body never ends.
+        EndlessBody
     };
     /// Chooses the fault for a request.
     using FaultHook = std::function<Fault(const HttpRequestMessage &)>;
@@ -87,6 +89,13 @@
         SteadyTime ended {};
     };
 
+    /// Length of a record in the body of a reply.
+    static constexpr std::size_t recordBytes = 16;
+    /// Returns one record of the reply of any replica of `service` to a request. It depends on the
+    /// whole request ID, so that records of different requests differ.
+    static std::string record(const std::string &service, const std::string &requestId,
+                              std::size_t index);
+
     ShardServer(event_base *loop, const Settings &settings);
     ~ShardServer();
     ShardServer(const ShardServer &) = delete;
@@ -103,6 +112,10 @@
     void changeServiceTime(std::chrono::milliseconds time) { m_settings.serviceTime = time; }
     /// Makes the server answer under another ID, as a new server at the same address does.
     void changeId(const std::string &id) { m_settings.id = id; }
+    /// States in all replies from now on that the server is about to stop.
+    void announceLeaving() { m_isLeaving = true; }
+    /// Refuses all requests with status 503 and this value of Retry-After; an empty one ends that.
+    void refuseWithRetryAfter(const std::string &value) { m_retryAfter = value; }
     /// Pauses all work for `time`. After the pause, requests that are running now need their full
     /// service time again. Requests that begin during the pause wait for its end.
     void pause(std::chrono::milliseconds time);
@@ -137,6 +150,8 @@
     HttpReplyMessage makeReply(const std::string &requestId) const;
     /// Replies with `status` and the header that says that the request was not run.
     void refuse(Peer &peer, int status);
+    /// Sends more bytes to all peers with an endless reply.
+    void writeEndlessReplies();
     /// Cancels the jobs of a peer that has disconnected, and removes it.
     void onDisconnect(Peer &peer);
     void remove(Peer &peer);
@@ -154,6 +169,9 @@
     std::size_t m_runningJobs = 0;
     SteadyTime m_pausedUntil {};
     unsigned m_lastReply = 0;
+    bool m_isLeaving = false;
+    std::string m_retryAfter;
+    Timer m_endlessTimer;
 };
 
 } // namespace pimentoward::standins
--- a/standins/SiteChecker.cpp
+++ b/standins/SiteChecker.cpp
@@ -11,7 +11,6 @@
 
 constexpr int statusOk = 200;
 constexpr int statusUnavailable = 503;
-constexpr std::size_t recordBytes = 16;
 /// These values have to match the settings of Site and ShardServer.
 constexpr std::size_t topRecords = 8;
 constexpr std::size_t recordsPerPart = 4;
@@ -42,6 +41,23 @@
     return signature.find("." + id + ".") != std::string::npos;
 }
 
+/// Returns the greatest records of the parts of `services`, in descending order.
+std::string expectedBody(const std::set<std::string> &services, const RequestId &id)
+{
+    std::vector<std::string> records;
+    for (const std::string &service : services) {
+        for (std::size_t index = 0; index < recordsPerPart; ++index) {
+            records.push_back(ShardServer::record(service, id, index));
+        }
+    }
+    std::sort(records.rbegin(), records.rend());
+    std::string body;
+    for (std::size_t index = 0; index < std::min(topRecords, records.size()); ++index) {
+        body += records[index];
+    }
+    return body;
+}
+
 /// Number of times that the backend servers of each service began each request.
 using Runs = std::map<RequestId, std::map<std::string, std::size_t>>;
 
@@ -71,12 +87,9 @@
     if (static_cast<double>(parts.size()) < m_minCoverage * static_cast<double>(m_shards)) {
         return "the coverage is below the minimum";
     }
-    const std::size_t records = std::min(topRecords, recordsPerPart * parts.size());
-    const std::string &body = outcome.reply.body;
-    if (body.size() != records * recordBytes || body.find(outcome.requestId) == std::string::npos) {
-        return "the records do not match the parts";
-    }
-    return {};
+    return outcome.reply.body == expectedBody(services, outcome.requestId)
+        ? ""
+        : "the records do not match the parts";
 }
 
 std::string SiteChecker::validateSuccess(const SiteCaller::Outcome &outcome) const
@@ -89,9 +102,11 @@
     if (!isSignatureOf(signature, outcome.requestId)) {
         return "the answer belongs to another request";
     }
-    return outcome.reply.body.size() == recordsPerPart * recordBytes
-        ? ""
-        : "the body has the wrong length";
+    std::string expected;
+    for (std::size_t index = 0; index < recordsPerPart; ++index) {
+        expected += ShardServer::record(Site::singleService, outcome.requestId, index);
+    }
+    return outcome.reply.body == expected ? "" : "the body is not that of the reply";
 }
 
 std::vector<std::string> SiteChecker::violations(const std::list<SiteCaller::Outcome> &outcomes,
