Documents of other processes: bounded nesting, and odd entries are left out

Cause: the JSON library needs memory, and for CBOR and for writing stack, in proportion to the nesting, so one entry of another writer, one peer message or one caller's order could end a process. A field of the store's answer with another type threw through the event loop, and one entry without key or revision made a VM drop the whole answer. Numbers beyond a type's range were cut. Change: parseJson() and parseCbor() bound the nesting; entries that cannot be read are left out and logged; slots, times and born outside their range make a record unreadable; answers to this VM's own calls have a maximum size. Measured: nine odd entries in a list and in a watch, five VMs, some fed by others: all follow and serve.

--- a/cmake/TierSources.cmake
+++ b/cmake/TierSources.cmake
@@ -2,6 +2,7 @@
 set(TIER_SOURCES
   Core/Address.cpp
   Core/Base64.cpp
+  Core/BoundedJson.cpp
   Core/BoundedAppender.cpp
   Core/CallPacer.cpp
   Core/Compression.cpp
@@ -12,6 +13,7 @@
   Connection/BackendFleet.cpp
   Connection/BackendHealth.cpp
   Connection/BackendLink.cpp
+  Connection/BackendNotices.cpp
   Connection/CallerConnection.cpp
   Connection/CallerServer.cpp
   Connection/ColdLimit.cpp
@@ -23,6 +25,7 @@
   Connection/HttpReader.cpp
   Connection/HttpRequest.cpp
   Connection/HttpServer.cpp
+  Connection/RetryAfter.cpp
   Connection/SocketOptions.cpp
   Connection/UriEscape.cpp
   Discovery/DiscoveredRecords.cpp
@@ -48,9 +51,11 @@
   Process/Timer.cpp
   Request/AnswerTiming.cpp
   Request/BackendChooser.cpp
+  Request/BackendSelector.cpp
   Request/ForwardMessages.cpp
   Request/Forwarder.cpp
   Request/Gather.cpp
+  Request/GatherAnswer.cpp
   Request/LatencyEstimate.cpp
   Request/RecordMerge.cpp
   Request/ReplyClassifier.cpp
--- a/src/Pimentoward/Connection/HttpConnection.cpp
+++ b/src/Pimentoward/Connection/HttpConnection.cpp
@@ -17,6 +17,11 @@
 
 namespace {
 
+/// An answer with a longer head or body ends its call; the connection is closed. Answers of the
+/// store and of other VMs hold up to some thousand records.
+constexpr ev_ssize_t maxAnswerHeadBytes = 65'536;
+constexpr ev_ssize_t maxAnswerBodyBytes = 16'777'216;
+
 evhttp_cmd_type commandOf(const std::string &method)
 {
     if (method == "POST") {
@@ -81,6 +86,8 @@
     {
         connection = evhttp_connection_base_new(loop, nullptr, address.host.c_str(), address.port);
         evhttp_connection_set_closecb(connection, &State::onClosed, this);
+        evhttp_connection_set_max_headers_size(connection, maxAnswerHeadBytes);
+        evhttp_connection_set_max_body_size(connection, maxAnswerBodyBytes);
     }
 
     void close()
--- /dev/null
+++ b/src/Pimentoward/Core/BoundedJson.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <nlohmann/json.hpp>
+
+#include <string_view>
+
+namespace pimentoward {
+
+/// Maximum nesting of arrays and objects in a document that another process has written. The
+/// library needs memory, and for some operations stack, in proportion to the nesting, so that a
+/// short document could exhaust either.
+constexpr unsigned maxJsonDepth = 64;
+
+/// Parses JSON text. Returns a discarded value if the text is malformed, contains a number that a
+/// double cannot hold, or is nested deeper than `maxJsonDepth`.
+nlohmann::json parseJson(std::string_view text);
+/// Parses CBOR. Returns a discarded value if the bytes are malformed or nested deeper than
+/// `maxJsonDepth`.
+nlohmann::json parseCbor(std::string_view bytes);
+
+} // namespace pimentoward
--- a/src/Pimentoward/Discovery/FeedMessages.cpp
+++ b/src/Pimentoward/Discovery/FeedMessages.cpp
@@ -1,5 +1,6 @@
 #include "Pimentoward/Discovery/FeedMessages.h"
 
+#include "Pimentoward/Core/BoundedJson.h"
 #include "Pimentoward/Core/Compression.h"
 
 #include <nlohmann/json.hpp>
@@ -86,19 +87,8 @@
 /// Decompresses and parses the bytes; returns a discarded value if they are malformed.
 Json unpack(const std::string &bytes)
 {
-    constexpr bool isStrict = true;
-    constexpr bool throws = false;
     const auto unpacked = decompress(bytes, maxUnpackedBytes);
-    if (!unpacked) {
-        return {Json::value_t::discarded};
-    }
-    try {
-        return Json::from_cbor(*unpacked, isStrict, throws);
-    } catch (const Json::exception &) {
-        // A length that exceeds what the library can hold throws even though exceptions are
-        // switched off.
-        return {Json::value_t::discarded};
-    }
+    return unpacked ? parseCbor(*unpacked) : Json(Json::value_t::discarded);
 }
 
 /// Parses a message and checks the fields that both kinds of message have. `listName` is the field
--- a/src/Pimentoward/Discovery/MemberAnnouncement.cpp
+++ b/src/Pimentoward/Discovery/MemberAnnouncement.cpp
@@ -1,5 +1,7 @@
 #include "Pimentoward/Discovery/MemberAnnouncement.h"
 
+#include "Pimentoward/Core/BoundedJson.h"
+
 #include <nlohmann/json.hpp>
 
 namespace pimentoward {
@@ -15,8 +17,7 @@
 std::optional<FeedChooser::Member> decodeMember(const MemberId &id, const std::string &text,
                                                 Reason &reason)
 {
-    constexpr bool throws = false;
-    const nlohmann::json json = nlohmann::json::parse(text, nullptr, throws);
+    const nlohmann::json json = parseJson(text);
     const bool isValid = json.is_object() && json.contains("address") && json["address"].is_string()
         && json.contains("failureDomain") && json["failureDomain"].is_string();
     if (!isValid) {
--- a/src/Pimentoward/Process/ClaimRecord.cpp
+++ b/src/Pimentoward/Process/ClaimRecord.cpp
@@ -1,5 +1,6 @@
 #include "Pimentoward/Process/ClaimRecord.h"
 
+#include "Pimentoward/Core/BoundedJson.h"
 #include "Pimentoward/Core/WallClockCodec.h"
 
 #include <nlohmann/json.hpp>
@@ -19,7 +20,11 @@
         return record;
     }
     try {
-        const Json root = Json::from_cbor(bytes);
+        const Json root = parseCbor(bytes);
+        if (!root.is_object()) {
+            reason = {ResultCode::InvalidMessage, "malformed claim record: not a CBOR map"};
+            return std::nullopt;
+        }
         for (const auto &[name, item] : root.items()) {
             ClaimEntry entry;
             entry.token = item.at(0).get<std::string>();
--- a/src/Pimentoward/Process/ControlMessages.cpp
+++ b/src/Pimentoward/Process/ControlMessages.cpp
@@ -1,5 +1,7 @@
 #include "Pimentoward/Process/ControlMessages.h"
 
+#include "Pimentoward/Core/BoundedJson.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -138,7 +140,7 @@
 decodeControlMessage(const std::string &bytes, const HeartbeatServerList &servers, Reason &reason)
 {
     try {
-        return readMessage(Json::from_cbor(bytes), servers);
+        return readMessage(parseCbor(bytes), servers);
     } catch (const Json::exception &error) {
         reason = {ResultCode::InvalidMessage, error.what()};
         return std::nullopt;
--- a/src/Pimentoward/Process/SettingsChange.cpp
+++ b/src/Pimentoward/Process/SettingsChange.cpp
@@ -1,5 +1,6 @@
 #include "Pimentoward/Process/SettingsChange.h"
 
+#include "Pimentoward/Core/BoundedJson.h"
 #include "Pimentoward/Process/OperatorSettings.h"
 
 #include <nlohmann/json.hpp>
@@ -194,8 +195,7 @@
 
 std::optional<SettingsChange> SettingsChange::parse(const std::string &json, Reason &reason)
 {
-    constexpr bool throwOnError = false;
-    const Json root = Json::parse(json, nullptr, throwOnError);
+    const Json root = parseJson(json);
     if (!root.is_object()) {
         refuse(reason, ResultCode::MalformedRequest, "a change must be a JSON object");
         return std::nullopt;
--- a/src/Pimentoward/Request/CallerRequest.cpp
+++ b/src/Pimentoward/Request/CallerRequest.cpp
@@ -1,5 +1,7 @@
 #include "Pimentoward/Request/CallerRequest.h"
 
+#include "Pimentoward/Core/BoundedJson.h"
+
 #include <nlohmann/json.hpp>
 
 namespace pimentoward {
@@ -52,8 +54,7 @@
 
 std::optional<CallerRequest> CallerRequest::parse(const std::string &json, Reason &reason)
 {
-    constexpr bool throwOnError = false;
-    const Json root = Json::parse(json, nullptr, throwOnError);
+    const Json root = parseJson(json);
     if (!root.is_object()) {
         reason = {ResultCode::MalformedRequest, "the body is not a valid JSON object"};
         return std::nullopt;
--- a/src/Pimentoward/Request/Messages.cpp
+++ b/src/Pimentoward/Request/Messages.cpp
@@ -1,5 +1,6 @@
 #include "Pimentoward/Request/Messages.h"
 
+#include "Pimentoward/Core/BoundedJson.h"
 #include "Pimentoward/Core/WallClockCodec.h"
 
 #include <nlohmann/json.hpp>
@@ -271,7 +272,7 @@
 std::optional<PeerMessage> decodePeerMessage(const std::string &bytes, Reason &reason)
 {
     try {
-        return readMessage(Json::from_cbor(bytes));
+        return readMessage(parseCbor(bytes));
     } catch (const Json::exception &error) {
         reason = {ResultCode::InvalidMessage, error.what()};
         return std::nullopt;
--- a/src/Pimentoward/Request/Order.cpp
+++ b/src/Pimentoward/Request/Order.cpp
@@ -1,5 +1,7 @@
 #include "Pimentoward/Request/Order.h"
 
+#include "Pimentoward/Core/BoundedJson.h"
+
 #include <nlohmann/json.hpp>
 
 namespace pimentoward {
@@ -44,8 +46,7 @@
     if (outcome.code != ResultCode::Ok) {
         json["reason"] = outcome.text.empty() ? std::string(info.meaning) : outcome.text;
     }
-    constexpr bool throwOnError = false;
-    if (auto parsed = nlohmann::json::parse(body, nullptr, throwOnError); !parsed.is_discarded()) {
+    if (auto parsed = parseJson(body); !parsed.is_discarded()) {
         json["outcome"] = std::move(parsed);
     }
     return json.dump();
--- a/src/Pimentoward/Request/OrderRequest.cpp
+++ b/src/Pimentoward/Request/OrderRequest.cpp
@@ -1,5 +1,6 @@
 #include "Pimentoward/Request/OrderRequest.h"
 
+#include "Pimentoward/Core/BoundedJson.h"
 #include "Pimentoward/Request/CallerRequest.h"
 
 #include <nlohmann/json.hpp>
@@ -50,8 +51,7 @@
 std::optional<OrderRequest> OrderRequest::parse(const std::string &json, WallTime now,
                                                 Reason &reason)
 {
-    constexpr bool throwOnError = false;
-    const Json root = Json::parse(json, nullptr, throwOnError);
+    const Json root = parseJson(json);
     if (!root.is_object()) {
         return refuse(reason, ResultCode::MalformedRequest, "the body is not a valid JSON object");
     }
--- a/tests/Process/TierStoreTest.cpp
+++ b/tests/Process/TierStoreTest.cpp
@@ -141,6 +141,41 @@
     CHECK(fixture.sendAndWait(request("/one/x")).status == 200);
 }
 
+TEST_CASE("An odd entry among those of the backend servers stops neither the VM nor its feed",
+          "[rules]")
+{
+    const std::string valid = R"("service":"single","zone":"a","state":"ready",)";
+    const std::string address = R"("address":"127.0.0.1:9")";
+    constexpr std::size_t depth = 500'000;
+    const std::string text = GENERATE_COPY(
+        std::string(depth, '['), "{" + valid + address + ",\"maxConcurrency\":1e999}",
+        "{" + valid + address + ",\"maxConcurrency\":18446744073709551615}",
+        "{" + valid + address + ",\"maxConcurrency\":2,\"born\":18446744073709551616}",
+        "{" + valid + address + ",\"maxConcurrency\":2,\"coldLeftMs\":-1e300}",
+        "{" + valid + "\"address\":\"127.0.0.1:0\",\"maxConcurrency\":2}",
+        "{" + valid + "\"address\":\"127.0.0.1:-1\",\"maxConcurrency\":2}",
+        "{" + valid + "\"address\":\"127.0.0.1:65536\",\"maxConcurrency\":2}",
+        "{" + valid + "\"address\":\"127.0.0.1:1000000000\",\"maxConcurrency\":2}",
+        "{" + valid + address + ",\"maxConcurrency\":2,\"x\":" + std::string(depth, '['));
+    TierFixture::Settings settings;
+    settings.vms = 5;
+    settings.adjustDiscovery
+        = [](Discovery::Settings &discovery) { discovery.feed.maxDirectVms = 1; };
+    TierFixture fixture(settings);
+    REQUIRE(fixture.waitUntilKnown());
+    fixture.store().put(std::string(platform::wire::backendPrefix) + "odd", text);
+    fixture.run(300ms);
+    fixture.site().writeSettings();
+    // Some VMs list all records again, others only get the changes.
+    fixture.store().dropHistory();
+    fixture.run(1500ms);
+    for (std::size_t vm = 0; vm < settings.vms; ++vm) {
+        CHECK(fixture.vm(vm).backends() == 13);
+        CHECK(fixture.vm(vm).settingsRevision() == 2);
+        CHECK(fixture.sendAndWait(request("/one/x", vm)).status == 200);
+    }
+}
+
 TEST_CASE("VMs that follow the feed of another VM get changes, even after that VM has stopped",
           "[rules]")
 {
