Backend servers that leave or ask for a pause in a reply get no new requests

Cause: a backend server that states Server-Leaving in its replies got requests until the store listed it as draining; one that refused with Retry-After was asked again at once. A reply without an end took up to 16 MB on each connection. A reply without a request ID was accepted on a used connection, where it may be the second copy of an earlier one. After a pause of the process, waiting parts were sent even if their deadline had passed. Change: BackendNotices keeps both statements for one run of a server, apart from its link; BackendSelector leaves such servers out. A query that cannot reach its minimum coverage is refused before any part is sent, with a Retry-After from the pauses. A refused part waits briefly for a free server. MemoryBudget bounds unfinished replies of all servers together. Nothing is sent once the end of a request is due.

--- a/src/Pimentoward/Connection/BackendConnection.cpp
+++ b/src/Pimentoward/Connection/BackendConnection.cpp
@@ -50,12 +50,14 @@
 
 } // namespace
 
-BackendConnection::BackendConnection(event_base *loop, const Address &address, ClosedHook closed)
+BackendConnection::BackendConnection(event_base *loop, const Address &address, ClosedHook closed,
+                                     MemoryBudget *memory)
     : m_loop(loop)
     , m_reader(HttpReader::Direction::Replies, {})
     , m_timer(loop, [this] { onTimer(); })
     , m_closed(std::move(closed))
     , m_idleTimeout(defaultIdleTimeout)
+    , m_memory(memory)
 {
     m_timer.startOnce(connectTimeout);
     open(address);
@@ -87,6 +89,7 @@
 
 BackendConnection::~BackendConnection()
 {
+    releaseMemory();
     for (event *entry : {m_readEvent, m_writeEvent}) {
         if (entry != nullptr) {
             event_free(entry);
@@ -202,7 +205,7 @@
         std::size_t used = 0;
         const auto progress = m_reader.read(bytes, used);
         bytes.remove_prefix(used);
-        if (progress == HttpReader::Progress::Unfinished) {
+        if (progress == HttpReader::Progress::Unfinished && reserveMemory()) {
             continue;
         }
         if (progress != HttpReader::Progress::Finished) {
@@ -213,11 +216,37 @@
     }
 }
 
+bool BackendConnection::reserveMemory()
+{
+    if (m_memory == nullptr) {
+        return true;
+    }
+    const std::size_t held = m_reader.bufferedBytes();
+    if (held > m_reservedBytes && !m_memory->tryReserve(held - m_reservedBytes)) {
+        return false;
+    }
+    m_reservedBytes = std::max(m_reservedBytes, held);
+    return true;
+}
+
+void BackendConnection::releaseMemory()
+{
+    if (m_memory != nullptr) {
+        m_memory->release(m_reservedBytes);
+    }
+    m_reservedBytes = 0;
+}
+
 void BackendConnection::onReply(HttpReplyMessage reply, bool hasTrailingBytes)
 {
     const std::string_view repliedId = reply.headers.value(m_requestIdHeader);
     if (!repliedId.empty() && repliedId != m_requestId) {
         m_isRetired = true;
+        releaseMemory();
+        return;
+    }
+    if (repliedId.empty() && m_wasUsed && !m_requestIdHeader.empty()) {
+        finish(ExchangeOutcome::Broken, {});
         return;
     }
     updateLifetime(reply, hasTrailingBytes);
@@ -239,6 +268,8 @@
 {
     const DoneHook done = std::move(m_done);
     m_done = nullptr;
+    m_wasUsed = true;
+    releaseMemory();
     if (outcome != ExchangeOutcome::Replied) {
         m_isRetired = true;
     }
--- a/src/Pimentoward/Connection/BackendConnection.h
+++ b/src/Pimentoward/Connection/BackendConnection.h
@@ -2,6 +2,7 @@
 
 #include "Pimentoward/Connection/HttpReader.h"
 #include "Pimentoward/Core/Address.h"
+#include "Pimentoward/Core/MemoryBudget.h"
 #include "Pimentoward/Core/Types.h"
 #include "Pimentoward/Process/Timer.h"
 
@@ -37,7 +38,9 @@
         std::string bytes;
         std::string method;
         /// ID that the reply is expected to repeat in the header `requestIdHeader`. A reply with
-        /// another ID is dropped; a reply without that header is accepted.
+        /// another ID is dropped. A reply without that header ends the exchange as broken, except
+        /// for the first request of a connection: later it may be a second copy of an earlier
+        /// reply.
         RequestId requestId;
         /// Name of the header with the request ID; empty if every reply is accepted. The text must
         /// outlive the connection.
@@ -47,7 +50,10 @@
     /// Runs when a connection on which no exchange is running can no longer be used.
     using ClosedHook = std::function<void(BackendConnection &)>;
 
-    BackendConnection(event_base *loop, const Address &address, ClosedHook closed);
+    /// `memory` bounds the bytes of unfinished replies on all connections that share it. It must
+    /// outlive the connection; null means no bound.
+    BackendConnection(event_base *loop, const Address &address, ClosedHook closed,
+                      MemoryBudget *memory = nullptr);
     ~BackendConnection();
     BackendConnection(const BackendConnection &) = delete;
     BackendConnection &operator=(const BackendConnection &) = delete;
@@ -70,6 +76,9 @@
     void onReply(HttpReplyMessage reply, bool hasTrailingBytes);
     void finish(ExchangeOutcome outcome, HttpReplyMessage reply);
     void onTimer();
+    /// Counts the bytes of the unfinished reply. Returns false if no memory is left for them.
+    bool reserveMemory();
+    void releaseMemory();
     void updateLifetime(const HttpReplyMessage &reply, bool hasTrailingBytes);
 
     event_base *m_loop;
@@ -86,7 +95,12 @@
     /// the connection is established, so a failure before that proves that nothing was sent.
     std::string m_unsent;
     Duration m_idleTimeout;
+    MemoryBudget *m_memory;
+    /// Bytes of the unfinished reply that are counted in `m_memory`.
+    std::size_t m_reservedBytes = 0;
     bool m_isConnected = false;
+    /// True after the first exchange on this connection has ended.
+    bool m_wasUsed = false;
     /// True once no further request may be sent on this connection.
     bool m_isRetired = false;
 };
--- a/src/Pimentoward/Connection/BackendFleet.cpp
+++ b/src/Pimentoward/Connection/BackendFleet.cpp
@@ -22,6 +22,7 @@
                            BackendLink::FreeCapacityHook onFreeCapacity)
     : m_loop(loop)
     , m_settings(settings)
+    , m_replyMemory(settings.replyBytes)
     , m_onFreeCapacity(std::move(onFreeCapacity))
 { }
 
@@ -73,7 +74,8 @@
             }
             if (!link) {
                 link = std::make_unique<BackendLink>(m_loop, record, m_settings.cold, now,
-                                                     m_onFreeCapacity);
+                                                     m_onFreeCapacity, &m_replyMemory);
+                link->changeNotice(m_notices.notice(record));
             }
             link->changeRecord(record, now);
             link->changeMaxConnections(connectionShareOf(record, *routes, members.size()));
@@ -146,6 +148,22 @@
     return found == m_links.end() ? nullptr : found->second.get();
 }
 
+bool BackendFleet::onLeaving(BackendLink &link)
+{
+    const bool wasLeaving = link.notice().isLeaving;
+    m_notices.onLeaving(link.record());
+    link.changeNotice(m_notices.notice(link.record()));
+    return !wasLeaving;
+}
+
+bool BackendFleet::onPauseRequested(BackendLink &link, SteadyTime until)
+{
+    const SteadyTime before = link.notice().pausedUntil;
+    m_notices.onPauseRequested(link.record(), until);
+    link.changeNotice(m_notices.notice(link.record()));
+    return link.notice().pausedUntil > before;
+}
+
 void BackendFleet::removeDrained()
 {
     const auto drained
--- a/src/Pimentoward/Connection/BackendFleet.h
+++ b/src/Pimentoward/Connection/BackendFleet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Pimentoward/Connection/BackendLink.h"
+#include "Pimentoward/Core/MemoryBudget.h"
 #include "Pimentoward/Version/BackendDirectory.h"
 #include "Pimentoward/Version/RouteTable.h"
 
@@ -38,6 +39,9 @@
         /// share the limit of a cold backend server.
         MemberId self;
         ColdLimit::Settings cold;
+        /// Maximum bytes of unfinished replies from all backend servers together. A reply that
+        /// would exceed it is broken off.
+        std::size_t replyBytes = 33'554'432;
     };
 
     BackendFleet(event_base *loop, const Settings &settings,
@@ -52,6 +56,12 @@
     void changeColdSettings(const ColdLimit::Settings &settings);
     /// Links to the backend servers of `service`, those in this VM's failure domain first.
     const std::vector<BackendLink *> &linksOf(const ServiceName &service) const;
+    /// Records that the backend server of `link` has stated in a reply that it is leaving. Returns
+    /// true if that was not known.
+    bool onLeaving(BackendLink &link);
+    /// Records that the backend server of `link` wants no requests before `until`. Returns true if
+    /// this begins or extends a pause.
+    bool onPauseRequested(BackendLink &link, SteadyTime until);
     /// The link to one backend server in service, or null if there is none.
     BackendLink *link(const BackendServerId &id) const;
     /// Destroys the links that are out of service and have no connections left.
@@ -75,9 +85,12 @@
 
     event_base *m_loop;
     Settings m_settings;
+    /// Shared by all links, so it is destroyed after them.
+    MemoryBudget m_replyMemory;
     BackendLink::FreeCapacityHook m_onFreeCapacity;
     std::unordered_map<BackendServerId, std::unique_ptr<BackendLink>> m_links;
     std::unordered_map<ServiceName, std::vector<BackendLink *>> m_linksByService;
+    BackendNotices m_notices;
     /// Links out of service that may still have exchanges running.
     std::vector<std::unique_ptr<BackendLink>> m_drainingLinks;
     /// Connections that were opened by links that have been removed.
--- a/src/Pimentoward/Connection/BackendLink.cpp
+++ b/src/Pimentoward/Connection/BackendLink.cpp
@@ -6,9 +6,10 @@
 namespace pimentoward {
 
 BackendLink::BackendLink(event_base *loop, BackendRecord record, const ColdLimit::Settings &cold,
-                         SteadyTime now, FreeCapacityHook onFreeCapacity)
+                         SteadyTime now, FreeCapacityHook onFreeCapacity, MemoryBudget *replyMemory)
     : m_loop(loop)
     , m_record(std::move(record))
+    , m_replyMemory(replyMemory)
     , m_onFreeCapacity(std::move(onFreeCapacity))
     , m_coldLimit(cold)
     , m_cleanupTimer(loop, [this] { m_closedConnections.clear(); })
@@ -70,7 +71,8 @@
     if (connection == nullptr) {
         ++m_connectionsOpened;
         m_connections.push_back(std::make_unique<BackendConnection>(
-            m_loop, m_record.address, [this](BackendConnection &closed) { remove(closed); }));
+            m_loop, m_record.address, [this](BackendConnection &closed) { remove(closed); },
+            m_replyMemory));
         connection = m_connections.back().get();
     }
     connection->send(exchange,
--- a/src/Pimentoward/Connection/BackendLink.h
+++ b/src/Pimentoward/Connection/BackendLink.h
@@ -2,6 +2,7 @@
 
 #include "Pimentoward/Connection/BackendConnection.h"
 #include "Pimentoward/Connection/BackendHealth.h"
+#include "Pimentoward/Connection/BackendNotices.h"
 #include "Pimentoward/Connection/ColdLimit.h"
 #include "Pimentoward/Connection/ConcurrencyLimit.h"
 #include "Pimentoward/Version/BackendRecord.h"
@@ -23,8 +24,11 @@
     using DoneHook = BackendConnection::DoneHook;
 
     /// The record's remaining cold time (`coldLeft`) counts from `now`.
+    /// `replyMemory` bounds the unfinished replies of all links that share it, and must outlive
+    /// the link; null means no bound.
     BackendLink(event_base *loop, BackendRecord record, const ColdLimit::Settings &cold,
-                SteadyTime now, FreeCapacityHook onFreeCapacity);
+                SteadyTime now, FreeCapacityHook onFreeCapacity,
+                MemoryBudget *replyMemory = nullptr);
 
     const BackendRecord &record() const { return m_record; }
     /// Applies a newer record of the same incarnation. If its remaining cold time differs from that
@@ -38,6 +42,9 @@
     /// only add load to the server that uses the address now.
     void onMisdirected() { m_isMisdirected = true; }
     bool isMisdirected() const { return m_isMisdirected; }
+    /// Applies what the backend server has stated in its replies about new requests.
+    void changeNotice(const BackendNotice &notice) { m_notice = notice; }
+    const BackendNotice &notice() const { return m_notice; }
     /// False if other replicas are used first, so that the connections suffice for all VMs.
     bool isPreferred() const { return m_isPreferred; }
     void changePreferred(bool isPreferred) { m_isPreferred = isPreferred; }
@@ -72,10 +79,12 @@
 
     event_base *m_loop;
     BackendRecord m_record;
+    MemoryBudget *m_replyMemory;
     FreeCapacityHook m_onFreeCapacity;
     BackendHealth m_health;
     ConcurrencyLimit m_concurrencyLimit;
     ColdLimit m_coldLimit;
+    BackendNotice m_notice;
     Connections m_connections;
     /// Connections that are destroyed from the event loop, after their own hook has returned.
     Connections m_closedConnections;
--- a/src/Pimentoward/Connection/HeaderNames.h
+++ b/src/Pimentoward/Connection/HeaderNames.h
@@ -21,6 +21,8 @@
     std::string missingParts;
     /// Present if the backend server has not run the request.
     std::string notRun;
+    /// "1" if the backend server that replies is about to stop and must get no new requests.
+    std::string leaving;
     /// Milliseconds for which a backend server stays cold. Sent in its health replies.
     std::string coldLeft;
 };
--- a/src/Pimentoward/Connection/HttpReader.cpp
+++ b/src/Pimentoward/Connection/HttpReader.cpp
@@ -219,6 +219,11 @@
     return reply;
 }
 
+std::size_t HttpReader::bufferedBytes() const
+{
+    return m_state->headBytes + m_state->body().size();
+}
+
 bool HttpReader::hasBegun() const
 {
     return m_state->begun;
--- a/src/Pimentoward/Connection/HttpReader.h
+++ b/src/Pimentoward/Connection/HttpReader.h
@@ -57,6 +57,8 @@
     HttpRequestMessage takeRequest();
     /// Returns the finished reply and prepares for the next one.
     HttpReplyMessage takeReply();
+    /// Number of bytes that the unfinished message takes so far.
+    std::size_t bufferedBytes() const;
     /// True if a message has begun and has not been taken yet.
     bool hasBegun() const;
     /// True if the head is complete and the sender waits for "100 Continue" to send the body.
--- a/src/Pimentoward/Request/Forwarder.cpp
+++ b/src/Pimentoward/Request/Forwarder.cpp
@@ -18,8 +18,6 @@
 constexpr Duration minTimeLeft = std::chrono::milliseconds(1);
 /// Interval at which exchanges whose request has ended are checked for expiry.
 constexpr std::chrono::milliseconds expiryCheckPeriod {50};
-/// Delay until a part that waits for a cold backend server is tried again.
-constexpr std::chrono::milliseconds coldRetryPeriod {50};
 
 double ratioOf(Duration time, Duration median)
 {
@@ -28,6 +26,17 @@
     return medianSeconds.count() > 0 ? seconds.count() / medianSeconds.count() : 1;
 }
 
+BackendSelector::Settings selectorSettings(const ForwarderSettings &settings)
+{
+    BackendSelector::Settings selector;
+    selector.chooser = settings.chooser;
+    selector.failureDomain = settings.failureDomain;
+    selector.coldLimit = settings.checks.coldLimit;
+    selector.leavingReplies = settings.checks.leavingReplies;
+    selector.requestedPauses = settings.checks.requestedPauses;
+    return selector;
+}
+
 } // namespace
 
 Forwarder::Forwarder(event_base *loop, const ForwarderSettings &settings, Metrics &metrics)
@@ -36,16 +45,19 @@
     , m_messages(settings.headers)
     , m_report(metrics)
     , m_fleet(loop, settings.fleet, [this](BackendLink &link) { onFreeCapacity(link); })
-    , m_chooser(settings.chooser)
+    , m_selector(
+          m_fleet, selectorSettings(settings),
+          [this](const ServiceName &service, SteadyTime time) { scheduleRetry(service, time); })
     , m_planner(settings.plans)
     , m_environment {[this](const ServiceName &service, const std::vector<BackendServerId> &avoid,
-                            SendPurpose purpose,
-                            SteadyTime now) { return choose(service, avoid, purpose, now); },
+                            SendPurpose purpose, SteadyTime now) {
+                         return m_selector.choose(service, avoid, purpose, now);
+                     },
                      [this](const ServiceName &service, SteadyTime now) {
                          return acquireExtraRequest(service, now);
                      }}
     , m_dispatchTimer(loop, [this] { dispatchWaiting(); })
-    , m_coldRetryTimer(loop, [this] { dispatchWaiting(); })
+    , m_retryTimer(loop, [this] { dispatchWaiting(); })
     , m_expiryTimer(loop, [this] { cancelExpiredExchanges(); })
 { }
 
@@ -243,6 +255,12 @@
     if (reply.isMisdirected && m_settings.checks.misdirected) {
         exchange.link->onMisdirected();
     }
+    if (reply.isLeaving && m_fleet.onLeaving(*exchange.link)) {
+        m_report.onBackendLeaving(exchange.link->record());
+    }
+    if (reply.pause && m_fleet.onPauseRequested(*exchange.link, now + *reply.pause)) {
+        m_report.onBackendPaused(exchange.link->record(), *reply.pause);
+    }
 }
 
 void Forwarder::finish(ActiveRequest &request, GatherOutcome outcome)
@@ -350,35 +368,13 @@
     }
 }
 
-void Forwarder::scheduleColdRetry(const ServiceName &service)
+void Forwarder::scheduleRetry(const ServiceName &service, SteadyTime time)
 {
     m_servicesWithCapacity.insert(service);
-    if (!m_coldRetryTimer.isPending()) {
-        m_coldRetryTimer.startOnce(coldRetryPeriod);
-    }
-}
-
-Gather::Choice Forwarder::choose(const ServiceName &service,
-                                 const std::vector<BackendServerId> &avoid, SendPurpose purpose,
-                                 SteadyTime now)
-{
-    std::vector<BackendChooser::Candidate> candidates;
-    for (const BackendLink *link : m_fleet.linksOf(service)) {
-        const BackendServerId &id = link->record().id;
-        const bool isAvoided = std::find(avoid.begin(), avoid.end(), id) != avoid.end();
-        if (isAvoided || link->isMisdirected()) {
-            continue;
-        }
-        const bool isColdLimitReached
-            = m_settings.checks.coldLimit && !link->coldLimit().allows(now);
-        if (isColdLimitReached) {
-            scheduleColdRetry(service);
-        }
-        candidates.push_back({&id, link->record().failureDomain == m_settings.failureDomain,
-                              link->isPreferred(), link->hasFreeCapacity() && !isColdLimitReached,
-                              link->health().isSuspect(now), link->health().expectedSlowness(now)});
+    if (!m_retryTimer.isPending() || time < m_retryAt) {
+        m_retryAt = time;
+        m_retryTimer.startOnce(std::max(time - std::chrono::steady_clock::now(), Duration::zero()));
     }
-    return m_chooser.choose(candidates, purpose);
 }
 
 SharedRetryBudget &Forwarder::budget(const ServiceName &service)
--- a/src/Pimentoward/Request/Forwarder.h
+++ b/src/Pimentoward/Request/Forwarder.h
@@ -4,7 +4,7 @@
 #include "Pimentoward/Connection/CallerConnection.h"
 #include "Pimentoward/Connection/HeaderNames.h"
 #include "Pimentoward/Request/ActiveRequest.h"
-#include "Pimentoward/Request/BackendChooser.h"
+#include "Pimentoward/Request/BackendSelector.h"
 #include "Pimentoward/Request/ForwardMessages.h"
 #include "Pimentoward/Request/RequestPlanner.h"
 #include "Pimentoward/Request/RequestReport.h"
@@ -32,6 +32,10 @@
     bool misdirected = true;
     /// Sends no new requests to backend servers that are out of service.
     bool outOfService = true;
+    /// Sends no new requests to backend servers that state in a reply that they are leaving.
+    bool leavingReplies = true;
+    /// Sends no requests to a backend server during the pause that it has asked for.
+    bool requestedPauses = true;
     /// Limits the request rate of cold backend servers to what they can handle.
     bool coldLimit = true;
     /// States in each request how long the caller still waits when the request is sent. Without
@@ -133,11 +137,8 @@
     void dispatchWaiting();
     void cancelExpiredExchanges();
     void updateFleet();
-    /// Checks the requests that wait for `service` again after `coldRetryPeriod`, since its cold
-    /// backend servers have reached their request rate limit.
-    void scheduleColdRetry(const ServiceName &service);
-    Gather::Choice choose(const ServiceName &service, const std::vector<BackendServerId> &avoid,
-                          SendPurpose purpose, SteadyTime now);
+    /// Checks the requests that wait for `service` again at `time`.
+    void scheduleRetry(const ServiceName &service, SteadyTime time);
     bool acquireExtraRequest(const ServiceName &service, SteadyTime now);
     SharedRetryBudget &budget(const ServiceName &service);
 
@@ -149,7 +150,7 @@
     BackendListPtr m_backends;
     std::vector<MemberId> m_members;
     BackendFleet m_fleet;
-    BackendChooser m_chooser;
+    BackendSelector m_selector;
     RequestPlanner m_planner;
     Gather::Environment m_environment;
     std::unordered_map<ServiceName, SharedRetryBudget> m_budgets;
@@ -159,8 +160,9 @@
     /// Services that have had free capacity since waiting requests were last dispatched.
     std::set<ServiceName> m_servicesWithCapacity;
     Timer m_dispatchTimer;
-    /// Runs after a cold backend server has reached its request rate limit.
-    Timer m_coldRetryTimer;
+    Timer m_retryTimer;
+    /// When m_retryTimer runs, if it is pending.
+    SteadyTime m_retryAt {};
     Timer m_expiryTimer;
     /// Requests that have ended. They are destroyed later from the event loop, because they may end
     /// within the callback of their own timer.
--- a/src/Pimentoward/Request/Gather.cpp
+++ b/src/Pimentoward/Request/Gather.cpp
@@ -1,7 +1,5 @@
 #include "Pimentoward/Request/Gather.h"
 
-#include "Pimentoward/Request/RecordMerge.h"
-
 #include <algorithm>
 #include <cassert>
 #include <cmath>
@@ -10,19 +8,11 @@
 
 namespace {
 
-constexpr int statusOk = 200;
-constexpr int statusBadGateway = 502;
-constexpr int statusUnavailable = 503;
-constexpr int statusGatewayTimeout = 504;
-
 /// Attempts that one part may make beyond the plan's maxAttempts, as a replacement for attempts
 /// that did not run.
 constexpr unsigned maxRefusedSends = 2;
 /// Delay after which a hedge that found no retry budget or no backend server is tried again.
 constexpr std::chrono::milliseconds hedgeRecheckDelay {15};
-/// Retry-After value, in seconds, of the replies to refused requests. By then, a paused or
-/// restarting backend server is available again.
-constexpr const char *retryAfterSeconds = "0.3";
 
 } // namespace
 
@@ -46,21 +36,52 @@
     for (std::size_t index = 0; index < m_parts.size(); ++index) {
         sendFirst(index, now, actions);
     }
+    if (m_plan.isFanout && !canReachMinCoverage()) {
+        withdrawAttempts(actions);
+    }
     return finishIfDone(std::move(actions), now);
 }
 
+void Gather::withdrawAttempts(GatherActions &actions)
+{
+    actions.clear();
+    m_attempts.clear();
+    m_progress.sends = 0;
+    for (Part &part : m_parts) {
+        part.inFlight = 0;
+        part.possibleRuns = 0;
+        part.sends = 0;
+        part.hedgeAt.reset();
+    }
+}
+
 void Gather::sendFirst(std::size_t index, SteadyTime now, GatherActions &actions)
 {
     Part &part = m_parts[index];
     const Choice choice
         = m_environment.choose(m_plan.parts[index], part.tried, SendPurpose::First, now);
-    part.isWaiting = choice.backend.empty() && choice.mayBecomeAvailable;
-    if (!choice.backend.empty()) {
-        send(index, choice.backend, SendPurpose::First, now, actions);
-    } else if (!choice.mayBecomeAvailable) {
-        part.isGivenUp = true;
-        m_progress.lastFailure = "no backend server in service";
+    if (choice.backend.empty()) {
+        waitOrGiveUp(part, choice, now);
+        return;
     }
+    send(index, choice.backend, SendPurpose::First, now, actions);
+}
+
+void Gather::waitOrGiveUp(Part &part, const Choice &choice, SteadyTime now)
+{
+    const bool isRetry = part.sends > 0;
+    const bool isInTime = !isRetry || now < m_plan.refuseBy;
+    if (choice.pausedUntil) {
+        part.isWaiting = isInTime && *choice.pausedUntil < m_plan.refuseBy;
+        part.pausedUntil = choice.pausedUntil;
+        m_progress.lastFailure = "all backend servers have asked for a pause";
+    } else {
+        part.isWaiting = isInTime && choice.mayBecomeAvailable;
+        if (!choice.mayBecomeAvailable && !isRetry) {
+            m_progress.lastFailure = "no backend server in service";
+        }
+    }
+    part.isGivenUp = !part.isWaiting;
 }
 
 void Gather::send(std::size_t index, const BackendServerId &backend, SendPurpose purpose,
@@ -68,6 +89,7 @@
 {
     Part &part = m_parts[index];
     part.tried.push_back(backend);
+    part.isWaiting = false;
     ++part.inFlight;
     ++part.possibleRuns;
     ++part.sends;
@@ -123,7 +145,7 @@
     if (reply.kind == ReplyKind::Failure) {
         part.failure = std::move(reply.message);
     }
-    if (part.inFlight == 0) {
+    if (part.inFlight == 0 && !isEndDue(now)) {
         retry(index, now, actions);
     }
     return finishIfDone(std::move(actions), now);
@@ -140,9 +162,10 @@
     const ServiceName &service = m_plan.parts[index];
     const Choice choice = m_environment.choose(service, part.tried, SendPurpose::Retry, now);
     if (choice.backend.empty()) {
-        part.isGivenUp = true;
+        waitOrGiveUp(part, choice, now);
         return;
     }
+    part.isWaiting = false;
     if (m_checks.budget && !m_environment.acquireExtraRequest(service, now)) {
         part.isGivenUp = true;
         m_progress.lastFailure += ", retry budget spent";
@@ -172,22 +195,39 @@
 GatherActions Gather::onFreeCapacity(const std::set<ServiceName> &services, SteadyTime now)
 {
     GatherActions actions;
-    if (m_isFinished) {
-        return actions;
+    if (m_isFinished || isEndDue(now)) {
+        return finishIfDone(std::move(actions), now);
     }
     for (std::size_t index = 0; index < m_parts.size(); ++index) {
-        if (m_parts[index].isWaiting && services.count(m_plan.parts[index]) > 0) {
+        const Part &part = m_parts[index];
+        if (!part.isWaiting || services.count(m_plan.parts[index]) == 0) {
+            continue;
+        }
+        if (part.sends == 0) {
             sendFirst(index, now, actions);
+        } else {
+            retry(index, now, actions);
         }
     }
     return finishIfDone(std::move(actions), now);
 }
 
+void Gather::giveUpLateRetries(SteadyTime now)
+{
+    for (Part &part : m_parts) {
+        if (part.isWaiting && part.sends > 0 && now >= m_plan.refuseBy) {
+            part.isWaiting = false;
+            part.isGivenUp = true;
+        }
+    }
+}
+
 GatherActions Gather::onTimer(SteadyTime now)
 {
     GatherActions actions;
-    if (m_isFinished) {
-        return actions;
+    giveUpLateRetries(now);
+    if (m_isFinished || isEndDue(now)) {
+        return finishIfDone(std::move(actions), now);
     }
     for (std::size_t index = 0; index < m_parts.size(); ++index) {
         const Part &part = m_parts[index];
@@ -201,13 +241,13 @@
 SteadyTime Gather::nextTimer() const
 {
     SteadyTime next = m_plan.deadline;
-    const bool hasSent = !m_attempts.empty();
-    if (!hasSent) {
+    const bool hasWaitingRetry = std::any_of(m_parts.begin(), m_parts.end(), [](const Part &part) {
+        return part.isWaiting && part.sends > 0;
+    });
+    if (m_attempts.empty() || hasWaitingRetry) {
         next = std::min(next, m_plan.refuseBy);
     }
-    if (m_plan.isFanout && !hasMinCoverage()) {
-        next = std::min(next, m_plan.deadline);
-    } else if (m_plan.isFanout) {
+    if (m_plan.isFanout && hasMinCoverage()) {
         next = std::min(next, m_plan.answerBy);
     }
     for (const Part &part : m_parts) {
@@ -235,125 +275,59 @@
         m_parts.begin(), m_parts.end(), [](const Part &part) { return part.answer.has_value(); }));
 }
 
+std::size_t Gather::neededParts() const
+{
+    // Far less than one part, so a rounding error neither accepts a part too few nor requires one
+    // too many.
+    constexpr double roundingSlack = 1e-9;
+    const double needed = m_plan.minCoverage * static_cast<double>(m_parts.size()) - roundingSlack;
+    return std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(std::max(needed, 0.0))));
+}
+
 bool Gather::hasMinCoverage() const
 {
     const std::size_t count = answeredParts();
     if (count == 0) {
         return false;
     }
-    // Compares numbers of parts instead of shares. The slack is far less than one part, so rounding
-    // errors neither accept a part too few nor require one too many.
-    constexpr double roundingSlack = 1e-9;
-    const double needed = m_plan.minCoverage * static_cast<double>(m_parts.size());
-    return !m_checks.coverage || static_cast<double>(count) + roundingSlack >= needed;
+    return !m_checks.coverage || count >= neededParts();
 }
 
 bool Gather::canReachMinCoverage() const
 {
-    const auto failedParts
-        = std::count_if(m_parts.begin(), m_parts.end(),
-                        [this](const Part &part) { return isDone(part) && !part.answer; });
-    constexpr double roundingSlack = 1e-9;
-    const double reachable = static_cast<double>(m_parts.size()) - static_cast<double>(failedParts);
-    const double needed = m_plan.minCoverage * static_cast<double>(m_parts.size());
-    return reachable > 0 && reachable + roundingSlack >= needed;
+    return m_parts.size() - failedParts() >= neededParts();
 }
 
-bool Gather::mayHaveRun() const
+std::size_t Gather::failedParts() const
 {
-    return std::any_of(m_parts.begin(), m_parts.end(),
-                       [](const Part &part) { return part.possibleRuns > 0; });
+    return static_cast<std::size_t>(
+        std::count_if(m_parts.begin(), m_parts.end(),
+                      [this](const Part &part) { return isDone(part) && !part.answer; }));
 }
 
-GatherActions Gather::finishIfDone(GatherActions actions, SteadyTime now)
+bool Gather::isEndDue(SteadyTime now) const
 {
     const bool areAllPartsDone = std::all_of(m_parts.begin(), m_parts.end(),
                                              [this](const Part &part) { return isDone(part); });
     const bool isAnswerDue = m_plan.isFanout && now >= m_plan.answerBy && hasMinCoverage();
     const bool isCoverageUnreachable = m_plan.isFanout && !canReachMinCoverage();
     const bool isRefused = m_attempts.empty() && now >= m_plan.refuseBy;
-    if (areAllPartsDone || isAnswerDue || isCoverageUnreachable || isRefused
-        || now >= m_plan.deadline) {
-        finish(actions, now);
-    }
-    return actions;
-}
-
-void Gather::finish(GatherActions &actions, SteadyTime now)
-{
-    m_isFinished = true;
-    GatherOutcome outcome = m_progress;
-    outcome.missing = m_parts.size() - answeredParts();
-    outcome.missingServices = missingServices();
-    if (!m_plan.isFanout) {
-        setSingleAnswer(outcome, now);
-    } else if (hasMinCoverage()) {
-        setMergedAnswer(outcome);
-    } else {
-        outcome.reply = failureReply(outcome.reason, now);
-    }
-    actions.emplace_back(GatherFinish {std::move(outcome)});
-}
-
-std::string Gather::missingServices() const
-{
-    constexpr std::size_t maxNamed = 8;
-    std::string names;
-    std::size_t named = 0;
-    for (std::size_t index = 0; index < m_parts.size() && named < maxNamed; ++index) {
-        if (!m_parts[index].answer) {
-            names += (named == 0 ? "" : ",") + m_plan.parts[index];
-            ++named;
-        }
-    }
-    return names;
+    return areAllPartsDone || isAnswerDue || isCoverageUnreachable || isRefused
+        || now >= m_plan.deadline;
 }
 
-void Gather::setSingleAnswer(GatherOutcome &outcome, SteadyTime now)
-{
-    Part &part = m_parts.front();
-    if (part.answer) {
-        outcome.reply = std::move(part.answer->message);
-        return;
-    }
-    if (part.failure) {
-        outcome.reply = std::move(*part.failure);
-        outcome.reason = {ResultCode::BackendFailed, "the backend server replied with an error"};
-        return;
-    }
-    outcome.reply = failureReply(outcome.reason, now);
-}
-
-void Gather::setMergedAnswer(GatherOutcome &outcome) const
+bool Gather::mayHaveRun() const
 {
-    std::vector<std::string_view> bodies;
-    for (const Part &part : m_parts) {
-        if (part.answer) {
-            bodies.push_back(part.answer->message.body);
-            outcome.signatures.push_back(part.answer->signature);
-        }
-    }
-    outcome.reply.status = statusOk;
-    outcome.reply.body = mergeTopRecords(bodies, m_plan.topRecords);
-    outcome.reason.code = outcome.missing == 0 ? ResultCode::Ok : ResultCode::PartialCoverage;
+    return std::any_of(m_parts.begin(), m_parts.end(),
+                       [](const Part &part) { return part.possibleRuns > 0; });
 }
 
-HttpReplyMessage Gather::failureReply(Reason &reason, SteadyTime now) const
+GatherActions Gather::finishIfDone(GatherActions actions, SteadyTime now)
 {
-    HttpReplyMessage reply;
-    const std::string cause = m_progress.lastFailure.empty() ? "" : ": " + m_progress.lastFailure;
-    if (!mayHaveRun() || !m_checks.trueNotRun) {
-        reply.status = statusUnavailable;
-        reply.headers.add("Retry-After", retryAfterSeconds);
-        reason = {ResultCode::NotRunOverloaded, "not run" + cause};
-    } else if (now >= m_plan.deadline) {
-        reply.status = statusGatewayTimeout;
-        reason = {ResultCode::DeadlineExceeded, "no answer in time" + cause};
-    } else {
-        reply.status = statusBadGateway;
-        reason = {ResultCode::BackendFailed, "no usable answer" + cause};
+    if (!m_isFinished && isEndDue(now)) {
+        finish(actions, now);
     }
-    return reply;
+    return actions;
 }
 
 } // namespace pimentoward
--- a/src/Pimentoward/Request/Gather.h
+++ b/src/Pimentoward/Request/Gather.h
@@ -23,6 +23,9 @@
         BackendServerId backend;
         /// True if backend servers are in service, so that one may have free capacity later.
         bool mayBecomeAvailable = false;
+        /// When the first backend server accepts requests again; set if all that are in service
+        /// have asked for a pause.
+        std::optional<SteadyTime> pausedUntil;
     };
     /// Chooses a backend server of `service` that is not in `avoid`.
     using ChooseHook = std::function<Choice(const ServiceName &service,
@@ -86,10 +89,13 @@
         unsigned possibleRuns = 0;
         /// Number of attempts sent so far.
         unsigned sends = 0;
-        /// True while the first attempt waits for free capacity.
+        /// True while the next attempt waits for a backend server that can take it.
         bool isWaiting = false;
         /// True if no further attempt will be made.
         bool isGivenUp = false;
+        /// When a backend server of the part accepts requests again, if that is why the part was
+        /// given up.
+        std::optional<SteadyTime> pausedUntil;
         /// When the part is hedged, unless it is answered before that.
         std::optional<SteadyTime> hedgeAt;
     };
@@ -105,6 +111,14 @@
               SteadyTime now, GatherActions &actions);
     void hedge(std::size_t index, SteadyTime now, GatherActions &actions);
     void retry(std::size_t index, SteadyTime now, GatherActions &actions);
+    /// Waits for a backend server to send a part to, or gives the part up if none can take it in
+    /// time.
+    void waitOrGiveUp(Part &part, const Choice &choice, SteadyTime now);
+    /// Takes back the attempts that start() has prepared and that have not been sent.
+    void withdrawAttempts(GatherActions &actions);
+    /// Gives up the repeated attempts that still wait when no backend server could take them in
+    /// time.
+    void giveUpLateRetries(SteadyTime now);
     bool canAttemptAgain(const Part &part) const;
     /// True if the part has an answer or can no longer get one.
     bool isDone(const Part &part) const;
@@ -113,6 +127,14 @@
     std::string missingServices() const;
     bool hasMinCoverage() const;
     bool canReachMinCoverage() const;
+    /// Minimum number of parts in a successful answer.
+    std::size_t neededParts() const;
+    /// Number of parts that are done without an answer.
+    std::size_t failedParts() const;
+    /// True if the request ends now, so that nothing more may be sent.
+    bool isEndDue(SteadyTime now) const;
+    /// How long the caller should wait before it sends the request again.
+    Duration retryDelay(SteadyTime now) const;
     /// Appends the final action to `actions` if the request ends now.
     GatherActions finishIfDone(GatherActions actions, SteadyTime now);
     void finish(GatherActions &actions, SteadyTime now);
--- a/src/Pimentoward/Request/GatherTypes.h
+++ b/src/Pimentoward/Request/GatherTypes.h
@@ -48,6 +48,10 @@
     /// True if another backend server replied, because the address no longer belongs to the one
     /// that the request was meant for.
     bool isMisdirected = false;
+    /// True if the backend server states that it is about to stop.
+    bool isLeaving = false;
+    /// How long the backend server wants no requests, if it turned this one away for that time.
+    std::optional<Duration> pause;
     /// Short text for logs that says why the reply is not a success.
     const char *reason = "";
 };
--- a/src/Pimentoward/Request/ReplyClassifier.cpp
+++ b/src/Pimentoward/Request/ReplyClassifier.cpp
@@ -1,10 +1,13 @@
 #include "Pimentoward/Request/ReplyClassifier.h"
 
+#include "Pimentoward/Connection/RetryAfter.h"
+
 namespace pimentoward {
 
 namespace {
 
 constexpr int statusMisdirected = 421;
+constexpr int statusUnavailable = 503;
 
 bool isSuccess(int status)
 {
@@ -29,6 +32,11 @@
         return result;
     }
     result.signature = reply.headers.value(names.signature);
+    result.isLeaving
+        = reply.status != statusMisdirected && reply.headers.value(names.leaving) == "1";
+    if (reply.status == statusUnavailable) {
+        result.pause = retryAfter(reply.headers);
+    }
     if (reply.status == statusMisdirected) {
         result.kind = ReplyKind::NotRun;
         result.isMisdirected = true;
--- a/src/Pimentoward/Request/RequestReport.cpp
+++ b/src/Pimentoward/Request/RequestReport.cpp
@@ -71,6 +71,30 @@
                                                   << " address=" << backend.address.toString());
 }
 
+void RequestReport::onBackendLeaving(const BackendRecord &backend)
+{
+    LOG4CPLUS_INFO(requestLog(),
+                   "event=backend-leaving backend=" << backend.id << " service=" << backend.service
+                                                    << " address=" << backend.address.toString()
+                                                    << " incarnation=" << backend.incarnation);
+    m_metrics
+        .counter("pimentoward_backend_leaving_replies_total",
+                 "Backend servers that stated in a reply that they are leaving")
+        .add();
+}
+
+void RequestReport::onBackendPaused(const BackendRecord &backend, Duration pause)
+{
+    LOG4CPLUS_INFO(requestLog(),
+                   "event=backend-paused backend=" << backend.id << " service=" << backend.service
+                                                   << " address=" << backend.address.toString()
+                                                   << " ms=" << milliseconds(pause));
+    m_metrics
+        .counter("pimentoward_backend_pauses_total",
+                 "Times that a backend server asked for a pause of new requests")
+        .add();
+}
+
 void RequestReport::onRefused(const RequestId &id, int status, Revision settings,
                               const char *reason)
 {
--- a/src/Pimentoward/Request/RequestReport.h
+++ b/src/Pimentoward/Request/RequestReport.h
@@ -24,6 +24,10 @@
     void onBackendFailing(const BackendRecord &backend, const RequestId &id, const char *reason);
     /// Reports the first successful reply of a backend server after failures.
     void onBackendHealthy(const BackendRecord &backend);
+    /// Reports that a backend server has stated in a reply that it is leaving.
+    void onBackendLeaving(const BackendRecord &backend);
+    /// Reports that a backend server has asked for a pause of new requests.
+    void onBackendPaused(const BackendRecord &backend, Duration pause);
 
 private:
     Metrics &m_metrics;
