--- a/tests/Core/BoundedJsonTest.cpp
+++ b/tests/Core/BoundedJsonTest.cpp
@@ -34,7 +34,7 @@
 
 TEST_CASE("Brackets in strings do not count as nesting")
 {
-    const std::string text = "[\"\\\"" + std::string(maxJsonDepth * 2, '[') + "\"]";
+    const std::string text = "[\"\\\"" + std::string(2 * std::size_t {maxJsonDepth}, '[') + "\"]";
     CHECK(parseJson(text).is_array());
 }
 
--- a/tests/Request/GatherTest.cpp
+++ b/tests/Request/GatherTest.cpp
@@ -39,7 +39,7 @@
             if (choices.empty()) {
                 return Gather::Choice {"", true, std::nullopt};
             }
-            const Gather::Choice choice = choices.front();
+            Gather::Choice choice = choices.front();
             choices.pop_front();
             return choice;
         },
