Planned stop answers what waits to be accepted or read; replies without an end; faults seen by reading

Cause: closing the listener reset connections that the kernel had accepted, closing idle connections did not look for unread bytes, and the count of running requests left both out: with a busy task, 20 of 20 requests sent just before a stop got no answer. Interim replies were read without end.

--- a/src/Pimentoward/Connection/CallerConnection.cpp
+++ b/src/Pimentoward/Connection/CallerConnection.cpp
@@ -168,9 +168,21 @@
     m_hooks.onClosed(*this);
 }
 
+bool CallerConnection::hasUnreadInput() const
+{
+    char byte = 0;
+    return evbuffer_get_length(bufferevent_get_input(m_stream)) > 0
+        || recv(bufferevent_getfd(m_stream), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+bool CallerConnection::isUnanswered() const
+{
+    return !m_isClosing && (m_isServing || m_reader.hasBegun() || hasUnreadInput());
+}
+
 void CallerConnection::closeIfIdle()
 {
-    if (!m_isServing && !m_reader.hasBegun() && !m_isClosing) {
+    if (!m_isClosing && !isUnanswered()) {
         abort();
     }
 }
--- a/src/Pimentoward/Connection/CallerConnection.h
+++ b/src/Pimentoward/Connection/CallerConnection.h
@@ -56,8 +56,12 @@
     void closeIfIdle();
     /// True while a request that was passed on has no reply yet.
     bool isServing() const { return m_isServing; }
+    /// True while a request is running, being received or waiting to be read.
+    bool isUnanswered() const;
 
 private:
+    /// True if bytes from the caller have arrived that were not read yet.
+    bool hasUnreadInput() const;
     void onReadable();
     void onDisconnected();
     void onWritten();
--- a/src/Pimentoward/Connection/CallerServer.cpp
+++ b/src/Pimentoward/Connection/CallerServer.cpp
@@ -6,7 +6,9 @@
 #include <event2/event.h>
 #include <event2/listener.h>
 #include <netinet/in.h>
+#include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 
@@ -21,17 +23,33 @@
 
 CallerServer::~CallerServer()
 {
-    stopListening();
+    if (m_listener != nullptr) {
+        evconnlistener_free(m_listener);
+    }
 }
 
 void CallerServer::stopListening()
 {
     if (m_listener != nullptr) {
+        // Closing the listener resets the connections that it has not accepted, although their
+        // callers may have sent requests already.
+        acceptPending();
         evconnlistener_free(m_listener);
         m_listener = nullptr;
     }
 }
 
+void CallerServer::acceptPending()
+{
+    const int listener = evconnlistener_get_fd(m_listener);
+    for (int socket = 0; socket >= 0;) {
+        socket = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (socket >= 0) {
+            accept(socket);
+        }
+    }
+}
+
 bool CallerServer::listen(const Address &address, Reason &reason)
 {
     sockaddr_in local {};
@@ -90,6 +108,13 @@
     }
 }
 
+std::size_t CallerServer::unanswered() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_connections.begin(), m_connections.end(),
+                      [](const auto &entry) { return entry.second->isUnanswered(); }));
+}
+
 void CallerServer::closeIdle()
 {
     // Closing a connection removes it from m_connections, so this iterates over a copy.
--- a/src/Pimentoward/Connection/CallerServer.h
+++ b/src/Pimentoward/Connection/CallerServer.h
@@ -29,14 +29,18 @@
     void changeLimits(const CallerLimits &limits) { m_limits = limits; }
     /// From now on closes each connection, including new ones, after its next reply.
     void closeAfterReplies();
-    /// Stops accepting connections.
+    /// Accepts the connections that callers have already opened, then accepts no more.
     void stopListening();
-    /// Closes the connections on which no request is running or being received.
+    /// Closes the connections on which no request is running, being received or waiting to be read.
     void closeIdle();
+    /// Number of connections with a request that has been sent to this VM and has no reply yet,
+    /// also if it has not been read completely.
+    std::size_t unanswered() const;
     std::size_t connections() const { return m_connections.size(); }
 
 private:
     void accept(int socket);
+    void acceptPending();
     void remove(CallerConnection &connection);
     std::vector<CallerConnection *> allConnections() const;
 
--- a/src/Pimentoward/Connection/HttpClient.cpp
+++ b/src/Pimentoward/Connection/HttpClient.cpp
@@ -27,6 +27,13 @@
     m_cleanupTimer.startOnce(cleanupPeriod);
 }
 
+bool HttpClient::isIdle() const
+{
+    const auto isBusy = [](const auto &connection) { return connection->isBusy(); };
+    return std::none_of(m_connections.begin(), m_connections.end(), isBusy)
+        && std::none_of(m_previousConnections.begin(), m_previousConnections.end(), isBusy);
+}
+
 void HttpClient::removeIdlePrevious()
 {
     m_previousConnections.erase(
--- a/src/Pimentoward/Connection/HttpClient.h
+++ b/src/Pimentoward/Connection/HttpClient.h
@@ -20,6 +20,8 @@
     void send(const HttpCall &call, HttpConnection::DoneHook done);
     /// Sends further calls to `address`. Running calls continue on their connections.
     void changeAddress(const Address &address);
+    /// True if no call is running.
+    bool isIdle() const;
     /// Number of calls sent so far.
     std::uint64_t calls() const { return m_calls; }
 
--- a/src/Pimentoward/Connection/HttpConnection.cpp
+++ b/src/Pimentoward/Connection/HttpConnection.cpp
@@ -12,6 +12,8 @@
 #include <algorithm>
 #include <cassert>
 #include <cctype>
+#include <map>
+#include <optional>
 
 namespace pimentoward {
 
@@ -22,18 +24,15 @@
 constexpr ev_ssize_t maxAnswerHeadBytes = 65'536;
 constexpr ev_ssize_t maxAnswerBodyBytes = 16'777'216;
 
-evhttp_cmd_type commandOf(const std::string &method)
+/// The library's name of a method; nothing if calls do not use the method.
+std::optional<evhttp_cmd_type> commandOf(const std::string &method)
 {
-    if (method == "POST") {
-        return EVHTTP_REQ_POST;
-    }
-    if (method == "PUT") {
-        return EVHTTP_REQ_PUT;
-    }
-    if (method == "DELETE") {
-        return EVHTTP_REQ_DELETE;
-    }
-    return EVHTTP_REQ_GET;
+    static const std::map<std::string, evhttp_cmd_type> commands {{"GET", EVHTTP_REQ_GET},
+                                                                  {"POST", EVHTTP_REQ_POST},
+                                                                  {"PUT", EVHTTP_REQ_PUT},
+                                                                  {"DELETE", EVHTTP_REQ_DELETE}};
+    const auto found = commands.find(method);
+    return found == commands.end() ? std::nullopt : std::optional(found->second);
 }
 
 HttpAnswer readAnswer(evhttp_request *request)
@@ -180,6 +179,8 @@
 void HttpConnection::send(const HttpCall &call, DoneHook done)
 {
     assert(!isBusy());
+    const std::optional<evhttp_cmd_type> command = commandOf(call.method);
+    assert(command);
     if (m_state->hasUnexpectedInput()) {
         // The unexpected input would be read as the answer to this call.
         m_state->close();
@@ -196,9 +197,7 @@
     }
     evbuffer_add(evhttp_request_get_output_buffer(request), call.body.data(), call.body.size());
     m_state->deadline->startOnce(call.timeout);
-    if (evhttp_make_request(m_state->connection, request, commandOf(call.method),
-                            call.target.c_str())
-        != 0) {
+    if (evhttp_make_request(m_state->connection, request, *command, call.target.c_str()) != 0) {
         // libevent has freed the request. The timer makes the hook run from the event loop.
         m_state->request = nullptr;
         m_state->failedAtStart = true;
--- a/src/Pimentoward/Connection/HttpReader.cpp
+++ b/src/Pimentoward/Connection/HttpReader.cpp
@@ -4,6 +4,13 @@
 
 namespace pimentoward {
 
+namespace {
+
+/// Maximum number of interim replies (status 1xx) before the final one.
+constexpr unsigned maxInterimReplies = 32;
+
+} // namespace
+
 struct HttpReader::State
 {
     http_parser parser {};
@@ -13,6 +20,7 @@
     std::string headerName;
     std::string headerValue;
     std::size_t headBytes = 0;
+    unsigned interimReplies = 0;
     Progress outcome = Progress::Unfinished;
     bool begun = false;
     bool headEnded = false;
@@ -93,9 +101,9 @@
         reply.keepsConnection = keepsAlive;
         constexpr int firstFinalStatus = 200;
         if (parser.type == HTTP_RESPONSE && parser.status_code < firstFinalStatus) {
-            // This is an interim reply (1xx); the final one follows.
+            // This is an interim reply; the final one follows.
             reply = {};
-            return 0;
+            return ++interimReplies > maxInterimReplies ? 1 : 0;
         }
         outcome = Progress::Finished;
         // Pausing makes http_parser_execute() stop here: further bytes belong to the next message.
@@ -108,6 +116,7 @@
         request = {};
         reply = {};
         headBytes = 0;
+        interimReplies = 0;
         outcome = Progress::Unfinished;
         begun = false;
         headEnded = false;
--- a/src/Pimentoward/Discovery/Discovery.cpp
+++ b/src/Pimentoward/Discovery/Discovery.cpp
@@ -181,6 +181,10 @@
 
 void Discovery::onStoreAnswered()
 {
+    if (m_isStoreLost) {
+        LOG4CPLUS_INFO(discoveryLog(), "event=store-regained revision=" << m_mirror.revision());
+    }
+    m_isStoreLost = false;
     m_upToDateAt = m_clock.now();
     m_chooser.onStoreResult(true, m_upToDateAt);
 }
@@ -253,10 +257,6 @@
 
 void Discovery::onCaughtUp(bool isList)
 {
-    if (m_isStoreLost) {
-        LOG4CPLUS_INFO(discoveryLog(), "event=store-regained revision=" << m_mirror.revision());
-    }
-    m_isStoreLost = false;
     if (isList) {
         m_copy.clearHistory(m_mirror.revision());
     }
--- a/src/Pimentoward/Discovery/FeedClient.cpp
+++ b/src/Pimentoward/Discovery/FeedClient.cpp
@@ -19,6 +19,10 @@
             "VM answered with status " + std::to_string(status)};
 }
 
+/// Number of VMs with connections from which on idle ones are closed. One VM is asked at a time,
+/// and another one when it fails.
+constexpr std::size_t maxClients = 8;
+
 template <typename Message, typename Decode>
 HttpConnection::DoneHook hookFor(KeyValueStore::Hook<Message> done, Decode decode)
 {
@@ -47,8 +51,21 @@
     : m_loop(loop)
 { }
 
+void FeedClient::removeIdleClients()
+{
+    if (m_clients.size() < maxClients) {
+        return;
+    }
+    for (auto it = m_clients.begin(); it != m_clients.end();) {
+        it = it->second->isIdle() ? m_clients.erase(it) : std::next(it);
+    }
+}
+
 HttpClient &FeedClient::clientOf(const Address &vm)
 {
+    if (m_clients.count(vm.toString()) == 0) {
+        removeIdleClients();
+    }
     std::unique_ptr<HttpClient> &client = m_clients[vm.toString()];
     if (!client) {
         client = std::make_unique<HttpClient>(m_loop, vm);
--- a/src/Pimentoward/Discovery/FeedClient.h
+++ b/src/Pimentoward/Discovery/FeedClient.h
@@ -27,7 +27,13 @@
     /// Asks `vm` for changes after the revision `after`; the VM answers after `wait` at the latest.
     void watch(const Address &vm, Revision after, Duration wait, ChangesHook done);
 
+    /// Number of VMs to which connections are kept.
+    std::size_t clients() const { return m_clients.size(); }
+
 private:
+    /// Closes the connections to VMs that are not asked now, once there are many of them. VMs that
+    /// have left would otherwise keep theirs for as long as this process runs.
+    void removeIdleClients();
     HttpClient &clientOf(const Address &vm);
 
     event_base *m_loop;
--- a/src/Pimentoward/Process/HttpStore.cpp
+++ b/src/Pimentoward/Process/HttpStore.cpp
@@ -39,6 +39,9 @@
 
 Reason unexpectedReason(const HttpAnswer &answer)
 {
+    if (answer.status == statusOk) {
+        return {ResultCode::StoreUnavailable, "the store's answer cannot be read"};
+    }
     return {ResultCode::StoreUnavailable,
             "the store answered with status " + std::to_string(answer.status)};
 }
@@ -140,7 +143,8 @@
                  [done = std::move(done)](auto answer, const Reason &reason) {
                      if (!answer) {
                          done(std::nullopt, unavailableReason(reason));
-                     } else if (auto keys = parseKeys(answer->body); answer->status == statusOk) {
+                     } else if (auto keys = parseKeys(answer->body);
+                                answer->status == statusOk && keys) {
                          done(std::move(keys), {});
                      } else {
                          done(std::nullopt, unexpectedReason(*answer));
--- a/src/Pimentoward/Process/ServingTask.cpp
+++ b/src/Pimentoward/Process/ServingTask.cpp
@@ -144,7 +144,7 @@
 
 void ServingTask::postRunningCount(std::function<void(std::size_t)> hook)
 {
-    m_task.post([this, hook = std::move(hook)] { hook(m_forwarder.running()); });
+    m_task.post([this, hook = std::move(hook)] { hook(m_callers.unanswered()); });
 }
 
 } // namespace pimentoward
--- a/src/Pimentoward/Request/HedgePolicy.cpp
+++ b/src/Pimentoward/Request/HedgePolicy.cpp
@@ -51,6 +51,13 @@
     m_retries.addPrimary(now);
 }
 
+void HedgePolicy::addCancelled(Duration time)
+{
+    if (!m_hedgeDelay || time >= *m_hedgeDelay) {
+        addLatency(time);
+    }
+}
+
 void HedgePolicy::addLatency(Duration time)
 {
     constexpr unsigned samplesPerUpdate = 32;
--- a/src/Pimentoward/Request/HedgePolicy.h
+++ b/src/Pimentoward/Request/HedgePolicy.h
@@ -56,8 +56,11 @@
     bool tryAcquireHedge(SteadyTime now) { return m_hedges.tryAcquire(now); }
     /// Acquires a retry from its budget. Returns false if the budget is used up.
     bool tryAcquireRetry(SteadyTime now) { return m_retries.tryAcquire(now); }
-    /// Adds the time that a subrequest ran until it ended or was cancelled.
+    /// Adds the time that a subrequest ran until it ended.
     void addLatency(Duration time);
+    /// Adds the time that a subrequest ran until it was cancelled, which its latency exceeds. A
+    /// time below the hedge delay says nothing about slow subrequests and is ignored.
+    void addCancelled(Duration time);
 
     const RetryBudget &hedgeBudget() const { return m_hedges; }
     const RetryBudget &retryBudget() const { return m_retries; }
--- a/src/Pimentoward/Request/QueryAnswer.cpp
+++ b/src/Pimentoward/Request/QueryAnswer.cpp
@@ -14,7 +14,9 @@
     for (const std::string &array : arrays) {
         const auto begin = array.find('[');
         const auto end = array.rfind(']');
-        if (begin == std::string::npos || end == std::string::npos || end <= begin + 1) {
+        constexpr const char *whitespace = " \t\r\n";
+        if (begin == std::string::npos || end == std::string::npos
+            || array.find_first_not_of(whitespace, begin + 1) >= end) {
             continue;
         }
         if (joined.size() > 1) {
--- a/src/Pimentoward/Request/ScatterGather.cpp
+++ b/src/Pimentoward/Request/ScatterGather.cpp
@@ -242,7 +242,7 @@
 void ScatterGather::cancelAll(ShardState &state, SteadyTime now, Actions &actions)
 {
     for (const RunningSubrequest &subrequest : state.inFlight) {
-        m_environment.policy.addLatency(now - subrequest.sentAt);
+        m_environment.policy.addCancelled(now - subrequest.sentAt);
         m_mayHaveRun = true;
         actions.push_back(Cancel {subrequest.item});
     }
--- a/tests/Connection/BackendConnectionTest.cpp
+++ b/tests/Connection/BackendConnectionTest.cpp
@@ -113,6 +113,32 @@
     CHECK_FALSE(result.isReusable);
 }
 
+TEST_CASE("A late second copy of a reply is never taken for the next one")
+{
+    const bool hasId = GENERATE(true, false);
+    const std::string copy = "HTTP/1.1 200 OK\r\n"
+        + std::string(hasId ? "X-Request-Id: r1\r\n" : "") + "Content-Length: 4\r\n\r\nbody";
+    const LoopPtr loop = newLoop();
+    // The copy is sent once the next request has arrived, so the connection is in use again.
+    ScriptedServer server(loop.get(), [&](ScriptedServer::Peer &peer) {
+        const bool isFirst = peer.received.size() == requestBytes.size();
+        peer.write(isFirst ? reply("r1", "body") : copy + reply("r2", "next"));
+    });
+    BackendConnection connection(loop.get(), server.address(), [](BackendConnection &) {});
+    std::vector<std::string> bodies;
+    const auto done = [&](ExchangeOutcome outcome, HttpReplyMessage message) {
+        bodies.push_back(outcome == ExchangeOutcome::Replied ? message.body : "broken");
+    };
+    connection.send(exchange("r1"), done);
+    runLoop(loop.get(), 2s, [&] { return bodies.size() == 1; });
+    connection.send(exchange("r2"), done);
+    runLoop(loop.get(), 2s, [&] { return bodies.size() == 2; });
+    REQUIRE(bodies.size() == 2);
+    CHECK(bodies[0] == "body");
+    CHECK(bodies[1] == (hasId ? "next" : "broken"));
+    CHECK_FALSE(connection.isReusable());
+}
+
 TEST_CASE("A connection that receives bytes after the reply is not reused")
 {
     const ExchangeResult result = exchangeAgainst(
--- a/tests/Process/TierRulesTest.cpp
+++ b/tests/Process/TierRulesTest.cpp
@@ -5,7 +5,9 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <atomic>
 #include <map>
+#include <thread>
 
 using namespace pimentoward;
 using namespace pimentoward::standins;
@@ -213,6 +215,29 @@
     CHECK(outcome.status == 504);
 }
 
+TEST_CASE("LOST: a stopping VM answers requests that wait to be accepted or read", "[rules]")
+{
+    TierFixture fixture({});
+    REQUIRE(fixture.waitUntilKnown());
+    // The serving task is busy while callers connect and send, and then finds the stop first.
+    fixture.vm(0).serving().postRunningCount(
+        [](std::size_t) { std::this_thread::sleep_for(200ms); });
+    std::vector<TierFixture::Outcome *> outcomes;
+    for (int index = 0; index < 20; ++index) {
+        outcomes.push_back(&fixture.send(request(index % 2 == 0 ? "/one/x" : "/all/x")));
+    }
+    fixture.run(50ms);
+    std::atomic<std::size_t> unanswered = 0;
+    fixture.vm(0).serving().postNotReady();
+    fixture.vm(0).serving().postStopAccepting([] {});
+    fixture.vm(0).serving().postRunningCount([&](std::size_t count) { unanswered = count; });
+    fixture.runUntilEnded();
+    CHECK(unanswered == outcomes.size());
+    for (const TierFixture::Outcome *outcome : outcomes) {
+        CHECK(outcome->status == 200);
+    }
+}
+
 TEST_CASE("LOST: a stopping VM answers the requests that it has read and still accepts new ones",
           "[rules]")
 {
--- a/tests/Request/HedgePolicyTest.cpp
+++ b/tests/Request/HedgePolicyTest.cpp
@@ -92,6 +92,24 @@
     CHECK(estimate.quantile(50).value() >= milliseconds(9));
 }
 
+TEST_CASE("Hedges that are cancelled at once do not lower the hedge delay", "[request]")
+{
+    HedgePolicy policy;
+    for (int sample = 0; sample < 2000; ++sample) {
+        policy.addLatency(milliseconds(20));
+    }
+    const auto before = policy.hedgeDelay();
+    REQUIRE(before.has_value());
+    for (int sample = 0; sample < 50'000; ++sample) {
+        policy.addCancelled(milliseconds(1));
+    }
+    CHECK(policy.hedgeDelay() == before);
+    for (int sample = 0; sample < 50'000; ++sample) {
+        policy.addCancelled(milliseconds(90));
+    }
+    CHECK(*policy.hedgeDelay() > *before);
+}
+
 TEST_CASE("Retry backoffs double, vary at random and are reproducible with the same seed",
           "[request]")
 {
--- a/tests/platform/PlatformSettingsTest.cpp
+++ b/tests/platform/PlatformSettingsTest.cpp
@@ -89,6 +89,22 @@
     CHECK_FALSE(readFile("/nowhere/at/all.toml", reason).has_value());
 }
 
+TEST_CASE("An internal port outside 1 to 65535 is rejected, and a changed one needs a restart")
+{
+    Reason reason;
+    const auto before = platform::readSettings(settingsText, reason);
+    REQUIRE(before.has_value());
+    for (const char *ports : {"[72916,7395]", "[0,7395]", "[7380,-1]", "[7380,\"x\"]"}) {
+        std::string text = settingsText;
+        text.replace(text.find("[7380,7395]"), 11, ports);
+        CHECK_FALSE(platform::readSettings(text, reason).has_value());
+        CHECK(reason.text.find("internalPorts") != std::string::npos);
+    }
+    std::string text = settingsText;
+    text.replace(text.find("[7380,7395]"), 11, "[7381,7395]");
+    CHECK(platform::needsRestart(*before, *platform::readSettings(text, reason)));
+}
+
 TEST_CASE("Limits that are out of range are replaced by valid ones")
 {
     std::string text = settingsText;
