--- a/apps/pimentod/main.cpp
+++ b/apps/pimentod/main.cpp
@@ -170,5 +170,5 @@
         return static_cast<int>(exitCode);
     }
     Log::start(settings->text("log-level"));
-    return run(*settings);
+    Log::exitProcess(run(*settings));
 }
--- a/src/Pimentoward/Core/Log.cpp
+++ b/src/Pimentoward/Core/Log.cpp
@@ -2,10 +2,13 @@
 
 #include "Pimentoward/Core/BoundedAppender.h"
 
+#include <log4cplus/config.hxx>
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 
+#include <cstdlib>
+#include <iostream>
 #include <memory>
 
 namespace pimentoward {
@@ -23,6 +26,9 @@
 void initializeOnce()
 {
     static log4cplus::Initializer initializer;
+    // Lines are written by the threads that log them; the library's own threads stay idle.
+    constexpr std::size_t libraryThreads = 1;
+    log4cplus::setThreadPoolSize(libraryThreads);
 }
 
 } // namespace
@@ -56,6 +62,13 @@
     return true;
 }
 
+void Log::exitProcess(int exitCode)
+{
+    std::cout.flush();
+    std::cerr.flush();
+    std::_Exit(exitCode);
+}
+
 log4cplus::Logger Log::part(const std::string &name)
 {
     return log4cplus::Logger::getInstance(name);
--- a/src/Pimentoward/Core/Log.h
+++ b/src/Pimentoward/Core/Log.h
@@ -18,6 +18,9 @@
     static void startStructured(const std::string &level);
     /// Changes the level of all parts. Returns false if `level` is unknown.
     static bool changeLevel(const std::string &level);
+    /// Ends the process without destroying its static objects. The destructors of the log library
+    /// wait for threads of the library, which can outlast the time that a planned stop has.
+    [[noreturn]] static void exitProcess(int exitCode);
     /// Returns the logger of one part, for the LOG4CPLUS_* macros.
     static log4cplus::Logger part(const std::string &name);
 };
--- a/src/Pimentoward/Discovery/FeedClient.cpp
+++ b/src/Pimentoward/Discovery/FeedClient.cpp
@@ -19,8 +19,8 @@
             "VM answered with status " + std::to_string(status)};
 }
 
-/// Number of VMs with connections from which on idle ones are closed. One VM is asked at a time,
-/// and another one when it fails.
+/// Maximum number of VMs with connections; beyond it, idle ones are closed. One VM is asked at a
+/// time, and another one when it fails.
 constexpr std::size_t maxClients = 8;
 
 template <typename Message, typename Decode>
@@ -49,13 +49,11 @@
 
 FeedClient::FeedClient(event_base *loop)
     : m_loop(loop)
+    , m_cleanupTimer(loop, [this] { removeIdleClients(); })
 { }
 
 void FeedClient::removeIdleClients()
 {
-    if (m_clients.size() < maxClients) {
-        return;
-    }
     for (auto it = m_clients.begin(); it != m_clients.end();) {
         it = it->second->isIdle() ? m_clients.erase(it) : std::next(it);
     }
@@ -63,12 +61,12 @@
 
 HttpClient &FeedClient::clientOf(const Address &vm)
 {
-    if (m_clients.count(vm.toString()) == 0) {
-        removeIdleClients();
-    }
     std::unique_ptr<HttpClient> &client = m_clients[vm.toString()];
     if (!client) {
         client = std::make_unique<HttpClient>(m_loop, vm);
+        if (m_clients.size() > maxClients) {
+            m_cleanupTimer.startOnce(Duration::zero());
+        }
     }
     return *client;
 }
--- a/src/Pimentoward/Discovery/FeedClient.h
+++ b/src/Pimentoward/Discovery/FeedClient.h
@@ -2,6 +2,7 @@
 
 #include "Pimentoward/Connection/HttpClient.h"
 #include "Pimentoward/Discovery/FeedMessages.h"
+#include "Pimentoward/Process/Timer.h"
 
 #include <functional>
 #include <map>
@@ -31,13 +32,16 @@
     std::size_t clients() const { return m_clients.size(); }
 
 private:
-    /// Closes the connections to VMs that are not asked now, once there are many of them. VMs that
-    /// have left would otherwise keep theirs for as long as this process runs.
+    /// Closes the connections to VMs that are not asked now. VMs that have left would otherwise
+    /// keep theirs for as long as this process runs.
     void removeIdleClients();
     HttpClient &clientOf(const Address &vm);
 
     event_base *m_loop;
     std::map<std::string, std::unique_ptr<HttpClient>> m_clients;
+    /// Runs removeIdleClients() from the event loop, since a client may be in use when its hook
+    /// asks another VM.
+    Timer m_cleanupTimer;
 };
 
 } // namespace pimentoward
--- a/tests/Discovery/FeedClientTest.cpp
+++ b/tests/Discovery/FeedClientTest.cpp
@@ -29,5 +29,6 @@
         runLoop(loop.get(), 2s, [&] { return hasEnded; });
         REQUIRE(hasEnded);
     }
+    runLoop(loop.get(), 20ms);
     CHECK(client.clients() <= 8);
 }
