Comments that a first reader would stumble over

Cause: read as by somebody new to the change: a constant's comment said the opposite of its use, and a test looked at one of twenty answers without a reason. Change: both are worded anew; no code changes.

--- a/src/Pimentoward/Connection/RetryAfter.h
+++ b/src/Pimentoward/Connection/RetryAfter.h
@@ -8,7 +8,7 @@
 
 namespace pimentoward {
 
-/// Longest time that a Retry-After field can state; longer ones are reduced to it.
+/// Longest time that is taken from a Retry-After field; a longer one counts as this.
 constexpr std::chrono::minutes maxRetryAfter {10};
 
 /// Reads how long a reply asks its receiver to wait before the next request. Accepts seconds, also
--- a/tests/Process/TierNoticesTest.cpp
+++ b/tests/Process/TierNoticesTest.cpp
@@ -121,6 +121,7 @@
         const TierFixture::Outcome outcome = fixture.sendAndWait(request("/one/x"));
         CHECK(outcome.status == 503);
         CHECK(outcome.elapsed < 150ms);
+        // By then the VM has asked each of the three servers once, so it knows all pauses.
         if (index == 5) {
             const double seconds
                 = std::stod(std::string(outcome.reply.headers.value("Retry-After")));
