--- a/tests/Connection/BackendConnectionTest.cpp
+++ b/tests/Connection/BackendConnectionTest.cpp
@@ -126,7 +126,7 @@
     });
     BackendConnection connection(loop.get(), server.address(), [](BackendConnection &) {});
     std::vector<std::string> bodies;
-    const auto done = [&](ExchangeOutcome outcome, HttpReplyMessage message) {
+    const auto done = [&](ExchangeOutcome outcome, const HttpReplyMessage &message) {
         bodies.push_back(outcome == ExchangeOutcome::Replied ? message.body : "broken");
     };
     connection.send(exchange("r1"), done);
--- a/tests/Connection/EndlessRepliesTest.cpp
+++ b/tests/Connection/EndlessRepliesTest.cpp
@@ -80,8 +80,9 @@
     {
         BackendConnection connection(
             loop.get(), server.address(), [](BackendConnection &) {}, &memory);
-        connection.send({"GET / HTTP/1.1\r\n\r\n", "GET", "r1", "X-Request-Id"},
-                        [&](ExchangeOutcome result, HttpReplyMessage) { outcome = result; });
+        connection.send(
+            {"GET / HTTP/1.1\r\n\r\n", "GET", "r1", "X-Request-Id"},
+            [&](ExchangeOutcome result, const HttpReplyMessage &) { outcome = result; });
         runLoop(loop.get(), 20s, [&] {
             peak = std::max(peak, memory.reservedBytes());
             return outcome.has_value();
@@ -107,7 +108,7 @@
         connections.push_back(std::make_unique<BackendConnection>(
             loop.get(), server.address(), [](BackendConnection &) {}, &memory));
         connections.back()->send({"GET / HTTP/1.1\r\n\r\n", "GET", "r1", "X-Request-Id"},
-                                 [&](ExchangeOutcome, HttpReplyMessage) { ++broken; });
+                                 [&](ExchangeOutcome, const HttpReplyMessage &) { ++broken; });
     }
     runLoop(loop.get(), 10s, [&] {
         peak = std::max(peak, memory.reservedBytes());
--- a/tests/Process/TierRulesTest.cpp
+++ b/tests/Process/TierRulesTest.cpp
@@ -222,8 +222,10 @@
     // The serving task is busy while callers connect and send, and then finds the stop first.
     fixture.vm(0).serving().postRunningCount(
         [](std::size_t) { std::this_thread::sleep_for(200ms); });
+    constexpr std::size_t requests = 20;
     std::vector<TierFixture::Outcome *> outcomes;
-    for (int index = 0; index < 20; ++index) {
+    outcomes.reserve(requests);
+    for (std::size_t index = 0; index < requests; ++index) {
         outcomes.push_back(&fixture.send(request(index % 2 == 0 ? "/one/x" : "/all/x")));
     }
     fixture.run(50ms);
