HttpReader: drop trailer fields instead of adding the last one to the next message

Cause: the last trailer field stayed in the reader's members beyond the end of its message, since no end of the head follows it, and was stored in the next message. Earlier trailer fields were added to their own message. Evidence: the test below shows the field in the next message. Change: fields behind the end of the head are dropped; their bytes count towards the limit of the head. Why it works: only a head fills the members, and its end empties them.

--- a/src/Pimentoward/Connection/HttpReader.cpp
+++ b/src/Pimentoward/Connection/HttpReader.cpp
@@ -145,6 +145,11 @@
     };
     callbacks.on_header_field = [](http_parser *parser, const char *bytes, std::size_t size) {
         State *self = stateOf(parser);
+        if (self->headEnded) {
+            // A trailer field. It is dropped: the reader of a header field must be able to rely on
+            // its place in the head.
+            return self->countHeadBytes(size);
+        }
         if (self->hasValue && !self->endHeader()) {
             return 1;
         }
@@ -153,6 +158,9 @@
     };
     callbacks.on_header_value = [](http_parser *parser, const char *bytes, std::size_t size) {
         State *self = stateOf(parser);
+        if (self->headEnded) {
+            return self->countHeadBytes(size);
+        }
         self->headerValue.append(bytes, size);
         self->hasValue = true;
         return self->countHeadBytes(size);
--- a/src/Pimentoward/Connection/HttpReader.h
+++ b/src/Pimentoward/Connection/HttpReader.h
@@ -10,7 +10,8 @@
 namespace pimentoward {
 
 /// Parses the HTTP/1.1 requests or replies of one connection, one message at a time. It is strict:
-/// messages that two parsers might interpret differently are malformed.
+/// messages that two parsers might interpret differently are malformed. Trailer fields behind a
+/// chunked body are dropped.
 class HttpReader
 {
 public:
--- a/tests/Connection/HttpReaderTest.cpp
+++ b/tests/Connection/HttpReaderTest.cpp
@@ -101,6 +101,58 @@
     CHECK(reader.takeReply().body.empty());
 }
 
+// Guards against fields of one message that appear in the next message of its connection.
+TEST_CASE("A message is read in the same way alone and behind any other message")
+{
+    const std::vector<std::string> replies = {
+        "HTTP/1.1 200 OK\r\nX-Stamp: 1\r\nContent-Length: 2\r\n\r\nab",
+        "HTTP/1.1 200 OK\r\nX-Stamp: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\ncd\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nef\r\n0\r\nX-Stamp: 3\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-Stamp:\r\nX-Last: 4\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nContent-Length: 5\r\n\r\n",
+        "HTTP/1.1 103 Early Hints\r\nX-Stamp: 6\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n",
+        "HTTP/1.1 200 OK\r\n\r\n"};
+    // The last reply has no length, so only the end of its connection completes it.
+    const std::size_t before = GENERATE(range<std::size_t>(0, 6));
+    const std::size_t index = GENERATE(range<std::size_t>(0, 7));
+    const std::size_t piece = GENERATE(1, 7, 1000);
+    const auto readLast = [&](HttpReader &reader) {
+        if (readInPieces(reader, replies[index], piece) == HttpReader::Progress::Unfinished) {
+            CHECK(reader.readEnd() == HttpReader::Progress::Finished);
+        }
+        return reader.takeReply();
+    };
+    HttpReader alone(HttpReader::Direction::Replies, {});
+    const HttpReplyMessage expected = readLast(alone);
+    HttpReader behind(HttpReader::Direction::Replies, {});
+    REQUIRE(readInPieces(behind, replies[before], piece) == HttpReader::Progress::Finished);
+    behind.takeReply();
+    const HttpReplyMessage reply = readLast(behind);
+    CHECK(reply.status == expected.status);
+    CHECK(reply.body == expected.body);
+    CHECK(serialize(reply, "GET") == serialize(expected, "GET"));
+}
+
+TEST_CASE("Trailer fields of a request or reply are dropped, within the limit of the head")
+{
+    const std::string chunks = "2\r\nab\r\n0\r\nX-Stamp: 1\r\n\r\n";
+    const std::string bytes = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks
+        + "GET /next HTTP/1.1\r\n\r\n";
+    HttpReader reader(HttpReader::Direction::Requests, {headLimit, bodyLimit});
+    std::size_t used = 0;
+    REQUIRE(reader.read(bytes, used) == HttpReader::Progress::Finished);
+    CHECK_FALSE(reader.takeRequest().headers.has("X-Stamp"));
+    std::size_t more = 0;
+    REQUIRE(reader.read(std::string_view(bytes).substr(used), more)
+            == HttpReader::Progress::Finished);
+    const HttpRequestMessage next = reader.takeRequest();
+    CHECK(next.target == "/next");
+    CHECK_FALSE(next.headers.has("X-Stamp"));
+    CHECK(readRequest("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: "
+                      + std::string(headLimit, 'a') + "\r\n\r\n")
+          == HttpReader::Progress::HeadTooLong);
+}
+
 TEST_CASE("Mutated messages are read or rejected without using more bytes than were passed")
 {
     const std::vector<std::string> seeds = {
