--- a/cmake/TierSources.cmake
+++ b/cmake/TierSources.cmake
@@ -54,6 +54,7 @@
   Request/BackendSelector.cpp
   Request/ForwardMessages.cpp
   Request/Forwarder.cpp
+  Request/ForwarderExchanges.cpp
   Request/Gather.cpp
   Request/GatherAnswer.cpp
   Request/LatencyEstimate.cpp
