FAILBACK: ask backend servers whether they are cold while the store is silent

Cause: cold servers were known from the store only; X-Cold-Ms in health replies was never asked for. Evidence: the case counts no health check; the VMs' logs have store-lost and no later record of that server. Change: Discovery tells when its records may be outdated; meanwhile HealthChecker asks servers of services with a cold limit that are in use. What a server replies is kept apart from its record. Why it works: the limit is applied from the first reply on, half a second after the server is used again at the latest, with up to 20 VMs. Tests: TierLimitsTest, with the checks off the bound is exceeded.

--- a/cmake/TierSources.cmake
+++ b/cmake/TierSources.cmake
@@ -18,6 +18,7 @@
   Connection/CallerServer.cpp
   Connection/ColdLimit.cpp
   Connection/ConcurrencyLimit.cpp
+  Connection/HealthChecker.cpp
   Connection/HttpClient.cpp
   Connection/HttpConnection.cpp
   Connection/HttpHeaders.cpp
--- a/src/Pimentoward/Connection/BackendFleet.cpp
+++ b/src/Pimentoward/Connection/BackendFleet.cpp
@@ -53,10 +53,12 @@
     const ServiceRules *rules = routes.service(link.record().service);
     if (rules == nullptr || rules->coldRequestsPerSecond <= 0 || members.empty()) {
         link.coldLimit().changeShare(0, 0, 1);
+        link.changeHealthPath("");
         return;
     }
     const std::size_t rank = RendezvousHash::rank(members, m_settings.self, link.record().id);
     link.coldLimit().changeShare(rules->coldRequestsPerSecond, rank, members.size());
+    link.changeHealthPath(rules->healthPath);
 }
 
 void BackendFleet::update(const BackendListPtr &list, const RouteTablePtr &routes,
--- a/src/Pimentoward/Connection/BackendLink.h
+++ b/src/Pimentoward/Connection/BackendLink.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 #include <vector>
 
 namespace pimentoward {
@@ -55,6 +56,12 @@
     /// Limits the rate of requests while the backend server is cold.
     ColdLimit &coldLimit() { return m_coldLimit; }
     const ColdLimit &coldLimit() const { return m_coldLimit; }
+    /// Path of the health checks that this link needs; empty if it needs none.
+    const std::string &healthPath() const { return m_healthPath; }
+    void changeHealthPath(const std::string &path) { m_healthPath = path; }
+    /// When the latest health check was sent.
+    SteadyTime healthCheckedAt() const { return m_healthCheckedAt; }
+    void changeHealthCheckedAt(SteadyTime time) { m_healthCheckedAt = time; }
     /// True if one more request can be sent now. The cold limit is checked separately.
     bool hasFreeCapacity() const;
     /// Sends a request; requires hasFreeCapacity(). The returned handle can be passed to cancel().
@@ -85,6 +92,8 @@
     ConcurrencyLimit m_concurrencyLimit;
     ColdLimit m_coldLimit;
     BackendNotice m_notice;
+    std::string m_healthPath;
+    SteadyTime m_healthCheckedAt {};
     Connections m_connections;
     /// Connections that are destroyed from the event loop, after their own hook has returned.
     Connections m_closedConnections;
--- a/src/Pimentoward/Connection/ColdLimit.h
+++ b/src/Pimentoward/Connection/ColdLimit.h
@@ -39,12 +39,15 @@
     /// Changes the settings. The window takes effect at once, the others with the next
     /// changeShare().
     void changeSettings(const Settings &settings) { m_settings = settings; }
-    /// Sets the time until which the backend server is cold.
+    /// Sets the time until which the backend server is cold according to its record.
     void changeColdUntil(SteadyTime until) { m_coldUntil = until; }
+    /// Sets the time until which the backend server is cold according to its own reply, which holds
+    /// whatever the record says.
+    void changeReportedColdUntil(SteadyTime until) { m_reportedColdUntil = until; }
     /// `coldRequestsPerSecond`: requests per second from all VMs that the backend server can handle
     /// while it is cold; 0 means no limit. `rank`: position of this VM among `members` VMs, from 0.
     void changeShare(double coldRequestsPerSecond, std::size_t rank, std::size_t members);
-    bool isCold(SteadyTime now) const { return now < m_coldUntil; }
+    bool isCold(SteadyTime now) const { return now < m_coldUntil || now < m_reportedColdUntil; }
     /// True if one more request may be sent now.
     bool allows(SteadyTime now) const;
     void onSent(SteadyTime now);
@@ -52,6 +55,7 @@
 private:
     Settings m_settings;
     SteadyTime m_coldUntil {};
+    SteadyTime m_reportedColdUntil {};
     bool m_isLimited = false;
     /// Requests that this VM may send within one window.
     std::size_t m_share = 0;
--- a/src/Pimentoward/Connection/HeaderNames.h
+++ b/src/Pimentoward/Connection/HeaderNames.h
@@ -23,6 +23,8 @@
     std::string notRun;
     /// "1" if the backend server that replies is about to stop and must get no new requests.
     std::string leaving;
+    /// ID of the backend server that sends a health reply.
+    std::string backendId;
     /// Milliseconds for which a backend server stays cold. Sent in its health replies.
     std::string coldLeft;
 };
--- a/src/Pimentoward/Discovery/Discovery.cpp
+++ b/src/Pimentoward/Discovery/Discovery.cpp
@@ -18,7 +18,8 @@
 } // namespace
 
 Discovery::Discovery(event_base *loop, const Clock &clock, KeyValueStore &store, RecordCodec codec,
-                     const Settings &settings, DiscoveredRecords::Hooks hooks)
+                     const Settings &settings, DiscoveredRecords::Hooks hooks,
+                     OutdatedHook onOutdated)
     : m_clock(clock)
     , m_store(store)
     , m_settings(settings)
@@ -41,6 +42,8 @@
     , m_feedServer(loop, clock, m_copy, [this] { return freshness(); })
     , m_stepTimer(loop, [this] { runNextStep(); })
     , m_expiryTimer(loop, [this] { publish(); })
+    , m_onOutdated(std::move(onOutdated))
+    , m_ageTimer(loop, [this] { checkAge(); })
 { }
 
 Registration::Settings Discovery::registrationSettings(const Settings &settings)
@@ -187,6 +190,24 @@
     m_isStoreLost = false;
     m_upToDateAt = m_clock.now();
     m_chooser.onStoreResult(true, m_upToDateAt);
+    checkAge();
+}
+
+void Discovery::checkAge()
+{
+    const Duration maxAge = m_settings.mirror.watchTime + m_settings.outdatedMargin;
+    const Duration age = m_clock.now() - m_upToDateAt;
+    const bool areOutdated = age >= maxAge;
+    if (areOutdated != m_areRecordsOutdated) {
+        m_areRecordsOutdated = areOutdated;
+        LOG4CPLUS_INFO(discoveryLog(),
+                       "event=" << (areOutdated ? "records-outdated" : "records-current")
+                                << " revision=" << m_mirror.revision());
+        m_onOutdated(areOutdated);
+    }
+    if (!areOutdated) {
+        m_ageTimer.startOnce(maxAge - age);
+    }
 }
 
 bool Discovery::updateFreshness(const Address &vm, const FeedFreshness &freshness,
@@ -204,6 +225,7 @@
         return false;
     }
     m_upToDateAt = std::max(m_upToDateAt, now - freshness.age);
+    checkAge();
     return true;
 }
 
--- a/src/Pimentoward/Discovery/Discovery.h
+++ b/src/Pimentoward/Discovery/Discovery.h
@@ -33,12 +33,18 @@
         /// bounds how far the data can age unnoticed at each VM that relays it.
         Duration relayedWatchTime = std::chrono::milliseconds(1500);
         StoreMirror::Settings mirror;
+        /// The records may be outdated if the store has not confirmed them for this time longer
+        /// than a watch without changes takes.
+        Duration outdatedMargin = std::chrono::milliseconds(300);
         Registration::Settings registration;
         DiscoveredRecords::Settings records;
     };
 
+    /// Receives whether the records may be outdated, each time that changes.
+    using OutdatedHook = std::function<void(bool areOutdated)>;
+
     Discovery(event_base *loop, const Clock &clock, KeyValueStore &store, RecordCodec codec,
-              const Settings &settings, DiscoveredRecords::Hooks hooks);
+              const Settings &settings, DiscoveredRecords::Hooks hooks, OutdatedHook onOutdated);
 
     /// Binds the address for other VMs. Returns false, with InvalidSetting in `reason`, if that
     /// fails.
@@ -69,6 +75,8 @@
     bool updateFreshness(const Address &vm, const FeedFreshness &freshness, Revision revision);
     void onVmFailed(const Address &vm, const StoreFailure &failure);
     FeedFreshness freshness() const;
+    /// Reports a change of whether the records may be outdated.
+    void checkAge();
     void onOutage();
     void onCaughtUp(bool isList);
     void logSource(const FeedChooser::Choice &choice);
@@ -97,6 +105,9 @@
     bool m_isStoreLost = false;
     Timer m_stepTimer;
     Timer m_expiryTimer;
+    OutdatedHook m_onOutdated;
+    Timer m_ageTimer;
+    bool m_areRecordsOutdated = true;
 };
 
 } // namespace pimentoward
--- a/src/Pimentoward/Process/ServingTask.cpp
+++ b/src/Pimentoward/Process/ServingTask.cpp
@@ -114,6 +114,11 @@
     m_task.post([this, members = std::move(members)] { m_forwarder.changeMembers(members); });
 }
 
+void ServingTask::postRecordsOutdated(bool areOutdated)
+{
+    m_task.post([this, areOutdated] { m_forwarder.changeRecordsOutdated(areOutdated); });
+}
+
 void ServingTask::postSharedLimits(const SharedRetryBudget::Settings &retries,
                                    const ColdLimit::Settings &cold)
 {
--- a/src/Pimentoward/Process/ServingTask.h
+++ b/src/Pimentoward/Process/ServingTask.h
@@ -47,6 +47,9 @@
     void postBackends(BackendListPtr backends);
     /// Replaces the list of the tier's VMs.
     void postMembers(std::vector<MemberId> members);
+    /// Tells whether the records of backend servers may be outdated, as they are until this
+    /// function is called.
+    void postRecordsOutdated(bool areOutdated);
     /// Changes the limits that all VMs share: the retry budget and the limit of cold backend
     /// servers.
     void postSharedLimits(const SharedRetryBudget::Settings &retries,
--- a/src/Pimentoward/Process/TierProcess.cpp
+++ b/src/Pimentoward/Process/TierProcess.cpp
@@ -28,7 +28,8 @@
           m_discoveryTask.loop(), m_clock, *m_store, std::move(codec), settings.discovery,
           {[this](RouteTablePtr routes) { m_serving.postRoutes(std::move(routes)); },
            [this](BackendListPtr list) { m_serving.postBackends(std::move(list)); },
-           [this](std::vector<MemberId> members) { m_serving.postMembers(std::move(members)); }})
+           [this](std::vector<MemberId> members) { m_serving.postMembers(std::move(members)); }},
+          [this](bool areOutdated) { m_serving.postRecordsOutdated(areOutdated); })
     , m_drain(settings.drain)
     , m_onReload(std::move(onReload))
     , m_drainTimer(m_main.loop(), [this] { onDrainTimer(); })
--- a/src/Pimentoward/Request/Forwarder.cpp
+++ b/src/Pimentoward/Request/Forwarder.cpp
@@ -27,6 +27,13 @@
     return selector;
 }
 
+HealthChecker::Settings healthCheckerSettings(const ForwarderSettings &settings)
+{
+    HealthChecker::Settings checker;
+    checker.headers = settings.headers;
+    return checker;
+}
+
 } // namespace
 
 Forwarder::Forwarder(event_base *loop, const ForwarderSettings &settings, Metrics &metrics)
@@ -35,6 +42,8 @@
     , m_messages(settings.headers)
     , m_report(metrics)
     , m_fleet(loop, settings.fleet, [this](BackendLink &link) { onFreeCapacity(link); })
+    , m_healthChecker(loop, healthCheckerSettings(settings),
+                      [this](BackendLink &link, Duration left) { onBackendCold(link, left); })
     , m_selector(
           m_fleet, selectorSettings(settings),
           [this](const ServiceName &service, SteadyTime time) { scheduleRetry(service, time); })
@@ -68,9 +77,15 @@
 void Forwarder::changeMembers(std::vector<MemberId> members)
 {
     m_members = std::move(members);
+    m_healthChecker.changeVms(m_members.size());
     updateFleet();
 }
 
+void Forwarder::changeRecordsOutdated(bool areOutdated)
+{
+    m_healthChecker.changeRecordsOutdated(areOutdated && m_settings.checks.healthChecks);
+}
+
 void Forwarder::changeSharedLimits(const SharedRetryBudget::Settings &retries,
                                    const ColdLimit::Settings &cold)
 {
--- a/src/Pimentoward/Request/Forwarder.h
+++ b/src/Pimentoward/Request/Forwarder.h
@@ -3,6 +3,7 @@
 #include "Pimentoward/Connection/BackendFleet.h"
 #include "Pimentoward/Connection/CallerConnection.h"
 #include "Pimentoward/Connection/HeaderNames.h"
+#include "Pimentoward/Connection/HealthChecker.h"
 #include "Pimentoward/Request/ActiveRequest.h"
 #include "Pimentoward/Request/BackendSelector.h"
 #include "Pimentoward/Request/ForwardMessages.h"
@@ -39,6 +40,8 @@
     bool requestedPauses = true;
     /// Limits the request rate of cold backend servers to what they can handle.
     bool coldLimit = true;
+    /// Asks backend servers whether they are cold while their records may be outdated.
+    bool healthChecks = true;
     /// States in each request how long the caller still waits when the request is sent. Without
     /// this, the stated time is the one that was left when the caller's request was read.
     bool timeLeft = true;
@@ -84,6 +87,9 @@
     /// Sets the VMs, including this one, among which the capacity of backend servers and services
     /// is divided.
     void changeMembers(std::vector<MemberId> members);
+    /// Tells whether the backend servers' records may be outdated because nothing has been heard
+    /// from the store.
+    void changeRecordsOutdated(bool areOutdated);
     /// Applies changed settings of the limits that all VMs share.
     void changeSharedLimits(const SharedRetryBudget::Settings &retries,
                             const ColdLimit::Settings &cold);
@@ -141,6 +147,7 @@
     void send(ActiveRequest &request, const GatherSend &send);
     void onExchangeEnded(Exchanges::iterator position, ExchangeOutcome outcome,
                          HttpReplyMessage reply);
+    void onBackendCold(BackendLink &link, Duration coldLeft);
     void recordFailure(const Exchange &exchange, const char *reason, SteadyTime now);
     void recordReply(const Exchange &exchange, const ClassifiedReply &reply, SteadyTime now);
     void finish(ActiveRequest &request, GatherOutcome outcome);
@@ -166,6 +173,7 @@
     BackendListPtr m_backends;
     std::vector<MemberId> m_members;
     BackendFleet m_fleet;
+    HealthChecker m_healthChecker;
     BackendSelector m_selector;
     RequestPlanner m_planner;
     Gather::Environment m_environment;
--- a/src/Pimentoward/Request/ForwarderExchanges.cpp
+++ b/src/Pimentoward/Request/ForwarderExchanges.cpp
@@ -55,6 +55,7 @@
         = link->send(message, [this, position](ExchangeOutcome outcome, HttpReplyMessage reply) {
               onExchangeEnded(position, outcome, std::move(reply));
           });
+    m_healthChecker.onUsed(*link, now);
 }
 
 void Forwarder::onExchangeEnded(Exchanges::iterator position, ExchangeOutcome outcome,
@@ -63,6 +64,7 @@
     const SteadyTime now = std::chrono::steady_clock::now();
     ClassifiedReply classified = classifyReply(outcome, std::move(reply), m_settings.headers);
     recordReply(*position, classified, now);
+    m_healthChecker.onUsed(*position->link, now);
     ActiveRequest *request = position->request;
     const AttemptNumber attempt = position->attempt;
     m_exchanges.erase(position);
@@ -71,6 +73,13 @@
     }
 }
 
+void Forwarder::onBackendCold(BackendLink &link, Duration coldLeft)
+{
+    const SteadyTime now = std::chrono::steady_clock::now();
+    m_report.onBackendCold(link.record(), coldLeft);
+    link.coldLimit().changeReportedColdUntil(now + coldLeft);
+}
+
 void Forwarder::recordFailure(const Exchange &exchange, const char *reason, SteadyTime now)
 {
     if (exchange.link->health().onFailed(exchange.healthNumber, now)) {
--- a/src/Pimentoward/Request/RequestReport.cpp
+++ b/src/Pimentoward/Request/RequestReport.cpp
@@ -95,6 +95,18 @@
         .add();
 }
 
+void RequestReport::onBackendCold(const BackendRecord &backend, Duration coldLeft)
+{
+    LOG4CPLUS_INFO(requestLog(),
+                   "event=backend-cold backend=" << backend.id << " service=" << backend.service
+                                                 << " address=" << backend.address.toString()
+                                                 << " ms=" << milliseconds(coldLeft));
+    m_metrics
+        .counter("pimentoward_backends_cold_total",
+                 "Times that a health check found a backend server cold")
+        .add();
+}
+
 void RequestReport::onRefused(const RequestId &id, int status, Revision settings,
                               const char *reason)
 {
--- a/src/Pimentoward/Request/RequestReport.h
+++ b/src/Pimentoward/Request/RequestReport.h
@@ -28,6 +28,8 @@
     void onBackendLeaving(const BackendRecord &backend);
     /// Reports that a backend server has asked for a pause of new requests.
     void onBackendPaused(const BackendRecord &backend, Duration pause);
+    /// Reports that a backend server has stated in a health reply that it is cold.
+    void onBackendCold(const BackendRecord &backend, Duration coldLeft);
 
 private:
     Metrics &m_metrics;
--- a/src/Pimentoward/Version/RouteTable.h
+++ b/src/Pimentoward/Version/RouteTable.h
@@ -19,6 +19,8 @@
     /// Maximum number of requests per second that a cold backend server can handle from all VMs
     /// together; 0 means no limit.
     double coldRequestsPerSecond = 0;
+    /// Path at which its backend servers tell their state; empty if there is none.
+    std::string healthPath;
 };
 
 /// The routes and services of one revision of the operators' settings. Immutable. A request uses
--- a/standins/ShardServer.cpp
+++ b/standins/ShardServer.cpp
@@ -161,9 +161,8 @@
 void ShardServer::onRequest(Peer &peer, HttpRequestMessage request)
 {
     if (request.target == healthPath) {
-        HttpReplyMessage healthy;
-        healthy.headers.add("X-Instance-Id", m_settings.id);
-        peer.write(serialize(healthy, request.method));
+        ++m_healthChecks;
+        peer.write(serialize(makeHealthReply(), request.method));
         return;
     }
     ++m_arrivals;
@@ -189,6 +188,23 @@
     begin(peer, std::move(request));
 }
 
+HttpReplyMessage ShardServer::makeHealthReply() const
+{
+    HttpReplyMessage reply;
+    reply.headers.add(m_settings.headers.backendId, m_settings.id);
+    const Duration coldLeft = m_coldUntil - std::chrono::steady_clock::now();
+    if (coldLeft > Duration::zero()) {
+        const auto left = std::chrono::ceil<std::chrono::milliseconds>(coldLeft);
+        reply.headers.add(m_settings.headers.coldLeft, std::to_string(left.count()));
+    }
+    return reply;
+}
+
+void ShardServer::becomeCold(std::chrono::milliseconds time)
+{
+    m_coldUntil = std::chrono::steady_clock::now() + time;
+}
+
 void ShardServer::begin(Peer &peer, HttpRequestMessage request)
 {
     ++m_runningJobs;
--- a/standins/ShardServer.h
+++ b/standins/ShardServer.h
@@ -116,6 +116,8 @@
     void announceLeaving() { m_isLeaving = true; }
     /// Refuses all requests with status 503 and this value of Retry-After; an empty one ends that.
     void refuseWithRetryAfter(const std::string &value) { m_retryAfter = value; }
+    /// Becomes cold for `time`, which its health replies state from now on.
+    void becomeCold(std::chrono::milliseconds time);
     /// Pauses all work for `time`. After the pause, requests that are running now need their full
     /// service time again. Requests that begin during the pause wait for its end.
     void pause(std::chrono::milliseconds time);
@@ -124,6 +126,8 @@
     /// Number of requests received, including those that were not run. Health checks are not
     /// counted.
     std::uint64_t arrivals() const { return m_arrivals; }
+    /// Number of health checks received.
+    std::uint64_t healthChecks() const { return m_healthChecks; }
     /// Maximum number of connections that were open at the same time.
     std::size_t peakConnections() const { return m_peakConnections; }
     /// Number of requests that run now.
@@ -148,6 +152,7 @@
     void finish(Job &job);
     void reply(Peer &peer, const HttpRequestMessage &request, Fault fault);
     HttpReplyMessage makeReply(const std::string &requestId) const;
+    HttpReplyMessage makeHealthReply() const;
     /// Replies with `status` and the header that says that the request was not run.
     void refuse(Peer &peer, int status);
     /// Sends more bytes to all peers with an endless reply.
@@ -165,6 +170,8 @@
     std::deque<std::pair<Peer *, HttpRequestMessage>> m_queued;
     std::vector<Run> m_runs;
     std::uint64_t m_arrivals = 0;
+    std::uint64_t m_healthChecks = 0;
+    SteadyTime m_coldUntil {};
     std::size_t m_peakConnections = 0;
     std::size_t m_runningJobs = 0;
     SteadyTime m_pausedUntil {};
--- a/tests/Process/TierLimitsTest.cpp
+++ b/tests/Process/TierLimitsTest.cpp
@@ -150,6 +150,47 @@
     }
 }
 
+// Guards against a cold backend server that gets the usual load because the store, which would tell
+// that it is cold, is silent.
+TEST_CASE("FAILBACK: a backend server that becomes cold while the store is silent is spared",
+          "[rules]")
+{
+    const bool isOn = GENERATE(true, false);
+    constexpr double perSecond = 4;
+    TierFixture::Settings settings;
+    settings.vms = 2;
+    settings.site.coldRequestsPerSecond = perSecond;
+    settings.adjust
+        = [=](ServingTaskSettings &serving) { serving.forwarder.checks.healthChecks = isOn; };
+    TierFixture fixture(settings);
+    REQUIRE(fixture.waitUntilKnown());
+    ShardServer &cold = *fixture.site().servers("single").front();
+    for (int index = 0; index < 50; ++index) {
+        fixture.send(request("/one/x", static_cast<std::size_t>(index % 2)));
+        fixture.run(10ms);
+    }
+    // While the store answers, nothing else is asked.
+    CHECK(cold.healthChecks() == 0);
+    fixture.store().changeMode(KeyValueServer::Mode::Unresponsive);
+    fixture.run(1500ms);
+    cold.becomeCold(20s);
+    std::size_t before = 0;
+    for (int index = 0; index < 300; ++index) {
+        // The first second is given for the checks that are due.
+        before = index == 100 ? cold.runs().size() : before;
+        fixture.send(request("/one/x", static_cast<std::size_t>(index % 2)));
+        fixture.run(10ms);
+    }
+    fixture.runUntilEnded();
+    constexpr double seconds = 2;
+    const ColdLimit::Settings limit;
+    const auto runs = static_cast<double>(cold.runs().size() - before);
+    CHECK((runs <= seconds * (perSecond * limit.ratio + limit.sharedAllowance)) == isOn);
+    for (const TierFixture::Outcome &outcome : fixture.outcomes()) {
+        CHECK(outcome.status == 200);
+    }
+}
+
 TEST_CASE("BUDGET: an address that now belongs to another service gets at most one request",
           "[rules]")
 {
--- a/tests/platform/RecordReaderTest.cpp
+++ b/tests/platform/RecordReaderTest.cpp
@@ -70,6 +70,7 @@
     REQUIRE(table->service("s1") != nullptr);
     CHECK(table->service("s1")->maxConnections == 31);
     CHECK(table->service("s1")->coldRequestsPerSecond == 1.5);
+    CHECK(table->service("s1")->healthPath == "/health");
     CHECK(table->limits().headBytes == 100);
     CHECK(table->limits().bodyBytes == 200);
     CHECK(table->limits().idleTimeout == 400ms);
