Planned stop: a repeated SIGTERM no longer ends the process at once

Callers saw: accepted requests ended with a closed connection 0.3 s after SIGTERM, when the signal was sent a second time. Cause: Drain took a second signal of any kind for the wish to end at once. Change: a repeated SIGTERM has no effect; a SIGINT during a stop ends the process at once. pimentod too.

--- a/apps/pimentod/main.cpp
+++ b/apps/pimentod/main.cpp
@@ -105,7 +105,8 @@
             return;
         }
         LOG4CPLUS_INFO(m_log, "Planned stop requested by signal " << signal);
-        apply(m_drain.onStopSignal(m_clock.now()));
+        const SteadyTime now = m_clock.now();
+        apply(signal == SIGINT ? m_drain.onInterrupt(now) : m_drain.onStopSignal(now));
         m_drainTimer.startRepeating(drainPeriod);
     }
 
--- a/src/Pimentoward/Process/Drain.cpp
+++ b/src/Pimentoward/Process/Drain.cpp
@@ -15,17 +15,22 @@
 
 Drain::Actions Drain::onStopSignal(SteadyTime now)
 {
-    if (m_phase == Phase::Exited) {
-        return {};
-    }
     if (m_phase != Phase::Serving) {
-        return exit();
+        return {};
     }
     m_phase = Phase::NotReady;
     m_startedAt = now;
     return {TurnReadinessOff {lastAnswerAt()}};
 }
 
+Drain::Actions Drain::onInterrupt(SteadyTime now)
+{
+    if (m_phase == Phase::Serving) {
+        return onStopSignal(now);
+    }
+    return m_phase == Phase::Exited ? Actions() : exit();
+}
+
 void Drain::onOwnershipReleased(SteadyTime now)
 {
     m_releasedAt = now;
--- a/src/Pimentoward/Process/Drain.h
+++ b/src/Pimentoward/Process/Drain.h
@@ -63,8 +63,12 @@
 
     /// Replaces the settings. Has no effect once a stop has been requested.
     void changeSettings(const Settings &settings);
-    /// Starts a planned stop.
+    /// Starts a planned stop. Has no effect if one is under way: service managers may repeat the
+    /// signal, and that must not cut running requests.
     Actions onStopSignal(SteadyTime now);
+    /// Handles a signal from the operator's terminal: starts a planned stop, or ends the process at
+    /// once if a stop is under way.
+    Actions onInterrupt(SteadyTime now);
     /// Must be called once all backend servers of this VM have been handed over to other owners.
     void onOwnershipReleased(SteadyTime now);
     /// Reports how much work runs on this VM now: queries, orders, settlements and subrequests.
--- a/src/Pimentoward/Process/TierProcess.cpp
+++ b/src/Pimentoward/Process/TierProcess.cpp
@@ -62,7 +62,8 @@
         return;
     }
     LOG4CPLUS_INFO(processLog(), "event=stop-asked signal=" << signal);
-    apply(m_drain.onStopSignal(m_clock.now()));
+    const SteadyTime now = m_clock.now();
+    apply(signal == SIGINT ? m_drain.onInterrupt(now) : m_drain.onStopSignal(now));
     m_drainTimer.startRepeating(drainPeriod);
 }
 
--- a/tests/Process/PlannedStopTest.cpp
+++ b/tests/Process/PlannedStopTest.cpp
@@ -75,3 +75,24 @@
     CHECK(fixture.lostRequests() == 0);
     CHECK(fixture.runUntil(2s, [&] { return !fixture.isRunning(); }));
 }
+
+// Guards against requests that are cut when service managers repeat the stop signal.
+TEST_CASE("LOST: a repeated stop signal neither cuts running requests nor extends the stop",
+          "[rules]")
+{
+    TierProcessFixture fixture(longRequests(800ms));
+    REQUIRE(fixture.waitUntilServing());
+    const TierProcessFixture::Outcome &outcome = fixture.send(order());
+    fixture.runUntil(200ms, [] { return false; });
+    const SteadyTime stoppedAt = std::chrono::steady_clock::now();
+    for (int index = 0; index < 4; ++index) {
+        fixture.signal(index == 1 ? SIGHUP : SIGTERM);
+        fixture.runUntil(100ms, [] { return false; });
+    }
+    CHECK(fixture.runUntilEnded());
+    CHECK(outcome.status == 200);
+    CHECK(fixture.lostRequests() == 0);
+    constexpr auto grace = 4s;
+    CHECK(fixture.runUntil(grace, [&] { return !fixture.isRunning(); }));
+    CHECK(std::chrono::steady_clock::now() - stoppedAt < grace);
+}
