LOST: an answer that a caller still reads is not cut

Cause: a request counted as answered once its answer was in the output buffer; the stop's count and two timers followed that. Evidence: event=stopped cut=0 beside a cut answer; the tests below. Change: unwritten output counts as unanswered and keeps the connection open; a caller that reads no byte for 10 s is disconnected. Tests: PlannedStopTest, two cases, 2.6 of 8 MB arrived before, all after. Left: the same in pimentod, where libevent writes the answers.

--- a/src/Pimentoward/Connection/CallerConnection.cpp
+++ b/src/Pimentoward/Connection/CallerConnection.cpp
@@ -17,8 +17,11 @@
 constexpr int headersTooLarge = 431;
 /// Maximum bytes of further requests that are buffered while one is being served.
 constexpr std::size_t readAheadBytes = 65'536;
-/// How long a caller may take to read the last reply of a connection and to close its side.
+/// How long a caller may take to close its side after it has read the last reply of a connection.
 constexpr std::chrono::seconds lingerTimeout {5};
+/// A caller that reads no byte of a reply for this time is disconnected.
+constexpr timeval writeTimeout {
+    std::chrono::duration_cast<std::chrono::seconds>(callerUserTimeout).count(), 0};
 
 HttpReader::Limits readerLimits(const CallerLimits &limits)
 {
@@ -45,6 +48,7 @@
         static_cast<CallerConnection *>(self)->onDisconnected();
     };
     bufferevent_setcb(m_stream, onRead, onWrite, onEvent, this);
+    bufferevent_set_timeouts(m_stream, nullptr, &writeTimeout);
     bufferevent_enable(m_stream, EV_READ | EV_WRITE);
     startIdleTimer();
 }
@@ -137,7 +141,7 @@
 {
     m_isClosing = true;
     m_timer.startOnce(lingerTimeout);
-    if (evbuffer_get_length(bufferevent_get_output(m_stream)) == 0) {
+    if (!hasUnwrittenOutput()) {
         onWritten();
     }
 }
@@ -147,6 +151,7 @@
     // Closing the socket while received bytes are unread would reset the connection, and the caller
     // could lose the reply. So only the write side is shut down here.
     if (m_isClosing) {
+        m_timer.startOnce(lingerTimeout);
         shutdown(bufferevent_getfd(m_stream), SHUT_WR);
     }
 }
@@ -168,6 +173,11 @@
     m_hooks.onClosed(*this);
 }
 
+bool CallerConnection::hasUnwrittenOutput() const
+{
+    return evbuffer_get_length(bufferevent_get_output(m_stream)) > 0;
+}
+
 bool CallerConnection::hasUnreadInput() const
 {
     char byte = 0;
@@ -177,7 +187,8 @@
 
 bool CallerConnection::isUnanswered() const
 {
-    return !m_isClosing && (m_isServing || m_reader.hasBegun() || hasUnreadInput());
+    const bool hasRequest = m_isServing || m_reader.hasBegun() || hasUnreadInput();
+    return hasUnwrittenOutput() || (!m_isClosing && hasRequest);
 }
 
 void CallerConnection::closeIfIdle()
@@ -202,6 +213,11 @@
         refuse(requestTimeoutStatus, "request took too long to arrive");
         return;
     }
+    if (hasUnwrittenOutput()) {
+        // The reply is on its way. How long the caller may pause is limited by the write timeout.
+        m_timer.startOnce(m_isClosing ? Duration(lingerTimeout) : m_limits.idleTimeout);
+        return;
+    }
     m_hooks.onClosed(*this);
 }
 
--- a/src/Pimentoward/Connection/CallerConnection.h
+++ b/src/Pimentoward/Connection/CallerConnection.h
@@ -52,14 +52,17 @@
     void abort();
     /// Closes the connection after the next reply, which carries "Connection: close".
     void closeAfterReply() { m_closesAfterReply = true; }
-    /// Closes the connection if no request is running or being received on it.
+    /// Closes the connection unless isUnanswered() is true.
     void closeIfIdle();
     /// True while a request that was passed on has no reply yet.
     bool isServing() const { return m_isServing; }
-    /// True while a request is running, being received or waiting to be read.
+    /// True while a request is running, being received or waiting to be read, or while a reply has
+    /// not been written completely.
     bool isUnanswered() const;
 
 private:
+    /// True if a part of a reply is not with the kernel yet, because the caller reads slowly.
+    bool hasUnwrittenOutput() const;
     /// True if bytes from the caller have arrived that were not read yet.
     bool hasUnreadInput() const;
     void onReadable();
--- a/standins/ShardServer.h
+++ b/standins/ShardServer.h
@@ -110,6 +110,8 @@
     /// Sets the hook that chooses the fault of each request.
     void changeFault(FaultHook hook) { m_fault = std::move(hook); }
     void changeServiceTime(std::chrono::milliseconds time) { m_settings.serviceTime = time; }
+    /// Changes the number of records in the body of each reply.
+    void changeRecords(std::size_t records) { m_settings.records = records; }
     /// Makes the server answer under another ID, as a new server at the same address does.
     void changeId(const std::string &id) { m_settings.id = id; }
     /// States in all replies from now on that the server is about to stop.
--- a/tests/Process/PlannedStopTest.cpp
+++ b/tests/Process/PlannedStopTest.cpp
@@ -1,3 +1,4 @@
+#include "tests/support/SlowCaller.h"
 #include "tests/support/TierProcessFixture.h"
 
 #include <catch2/catch.hpp>
@@ -96,3 +97,44 @@
     CHECK(fixture.runUntil(grace, [&] { return !fixture.isRunning(); }));
     CHECK(std::chrono::steady_clock::now() - stoppedAt < grace);
 }
+
+// Guards against answers that are cut because the process ends while a caller still reads them.
+TEST_CASE("LOST: a stopping VM writes its answers completely to a caller that reads slowly",
+          "[rules]")
+{
+    constexpr std::size_t records = 500'000;
+    TierProcessFixture fixture(longRequests(5ms));
+    REQUIRE(fixture.waitUntilServing());
+    for (ShardServer *server : fixture.site().allServers()) {
+        server->changeRecords(records);
+    }
+    SlowCaller caller(fixture.loop(), fixture.callerAddress());
+    caller.send("GET /one/x HTTP/1.1\r\nHost: site.test\r\nX-Request-Id: slow\r\n\r\n");
+    fixture.runUntil(500ms, [] { return false; });
+    fixture.signal(SIGTERM);
+    // By now the process would have ended if it did not wait for the caller.
+    fixture.runUntil(2500ms, [] { return false; });
+    caller.startReading();
+    CHECK(fixture.runUntil(2s, [&] { return caller.hasEnded(); }));
+    CHECK(caller.receivedBytes() > records * ShardServer::recordBytes);
+    CHECK(fixture.runUntil(1s, [&] { return !fixture.isRunning(); }));
+}
+
+// Guards against the last answer of a connection that is cut while a caller reads it slowly.
+TEST_CASE("LOST: a caller that pauses for seconds gets the whole last answer of its connection",
+          "[rules]")
+{
+    constexpr std::size_t records = 500'000;
+    TierProcessFixture fixture(longRequests(5ms));
+    REQUIRE(fixture.waitUntilServing());
+    for (ShardServer *server : fixture.site().allServers()) {
+        server->changeRecords(records);
+    }
+    SlowCaller caller(fixture.loop(), fixture.callerAddress());
+    caller.send("GET /one/x HTTP/1.1\r\nHost: site.test\r\nX-Request-Id: slow\r\n"
+                "Connection: close\r\n\r\n");
+    fixture.runUntil(6s, [] { return false; });
+    caller.startReading();
+    CHECK(fixture.runUntil(2s, [&] { return caller.hasEnded(); }));
+    CHECK(caller.receivedBytes() > records * ShardServer::recordBytes);
+}
