Planned stop: name each request that the end of the process cuts; test of the users' matter

With two VMs of a domain of three stopping, new requests kept coming until the limit, and what ran then was cut, which are the lookups that take longest. Change: event=stopped tells its reason, and event=cut names each request that is cut, which the record lacked.

--- a/src/Pimentoward/Process/Drain.cpp
+++ b/src/Pimentoward/Process/Drain.cpp
@@ -28,7 +28,7 @@
     if (m_phase == Phase::Serving) {
         return onStopSignal(now);
     }
-    return m_phase == Phase::Exited ? Actions() : exit();
+    return m_phase == Phase::Exited ? Actions() : exit("interrupt");
 }
 
 void Drain::onOwnershipReleased(SteadyTime now)
@@ -57,7 +57,7 @@
         return {};
     }
     if (now - m_startedAt >= m_settings.limit) {
-        return exit();
+        return exit("time limit");
     }
     if (m_phase == Phase::NotReady && now - m_startedAt >= m_settings.readinessDelay) {
         m_phase = Phase::Leaving;
@@ -71,13 +71,13 @@
         m_running.reset();
         return {StopAccepting {}};
     }
-    return canExit ? exit() : Actions();
+    return canExit ? exit("no request is running") : Actions();
 }
 
-Drain::Actions Drain::exit()
+Drain::Actions Drain::exit(const char *reason)
 {
     m_phase = Phase::Exited;
-    return {Exit {m_running.value_or(0)}};
+    return {Exit {m_running.value_or(0), reason}};
 }
 
 } // namespace pimentoward
--- a/src/Pimentoward/Process/Drain.h
+++ b/src/Pimentoward/Process/Drain.h
@@ -55,6 +55,8 @@
     struct Exit
     {
         std::size_t cut = 0;
+        /// Short text for the log.
+        const char *reason = "";
     };
     using Action = std::variant<TurnReadinessOff, Leave, StopAccepting, Exit>;
     using Actions = std::vector<Action>;
@@ -84,7 +86,7 @@
 private:
     enum class Phase { Serving, NotReady, Leaving, Exited };
 
-    Actions exit();
+    Actions exit(const char *reason);
     SteadyTime lastAnswerAt() const
     {
         return m_startedAt + m_settings.limit - m_settings.answerMargin;
--- a/src/Pimentoward/Process/ServingTask.h
+++ b/src/Pimentoward/Process/ServingTask.h
@@ -40,6 +40,8 @@
     bool listen(Reason &reason);
     void start() { m_task.start(); }
     void stop() { m_task.stop(); }
+    /// Reports the requests that have no answer. Must be called after stop().
+    void reportCutRequests() { m_forwarder.reportCutRequests(); }
 
     /// Replaces the routes, and applies the table's limits to callers' new connections.
     void postRoutes(RouteTablePtr routes);
--- a/src/Pimentoward/Process/TierProcess.cpp
+++ b/src/Pimentoward/Process/TierProcess.cpp
@@ -46,6 +46,7 @@
     event_base_loop(m_main.loop(), EVLOOP_NO_EXIT_ON_EMPTY);
     m_discoveryTask.stop();
     m_serving.stop();
+    m_serving.reportCutRequests();
 }
 
 void TierProcess::changeSettings(const Settings &settings)
@@ -95,7 +96,9 @@
             m_serving.postStopAccepting(
                 [this] { m_main.post([this] { m_drain.onStoppedAccepting(); }); });
         } else if (const auto *exit = std::get_if<Drain::Exit>(&action)) {
-            LOG4CPLUS_INFO(processLog(), "event=stopped cut=" << exit->cut);
+            LOG4CPLUS_INFO(processLog(),
+                           "event=stopped cut=" << exit->cut << " reason=\"" << exit->reason
+                                                << '"');
             event_base_loopbreak(m_main.loop());
         }
     }
--- a/src/Pimentoward/Request/Forwarder.cpp
+++ b/src/Pimentoward/Request/Forwarder.cpp
@@ -241,6 +241,14 @@
     remove(request);
 }
 
+void Forwarder::reportCutRequests()
+{
+    const SteadyTime now = std::chrono::steady_clock::now();
+    for (const auto &[caller, request] : m_requests) {
+        m_report.onCut(*request, now);
+    }
+}
+
 void Forwarder::updateWaiting(ActiveRequest &request)
 {
     if (request.gather.isWaiting()) {
--- a/src/Pimentoward/Request/Forwarder.h
+++ b/src/Pimentoward/Request/Forwarder.h
@@ -102,6 +102,8 @@
     void onRequest(CallerConnection &caller, CallerConnection::Arrival arrival);
     /// Ends the request of a caller that has closed its connection.
     void onCallerGone(CallerConnection &caller);
+    /// Reports each running request as cut, because the process ends.
+    void reportCutRequests();
     /// Number of requests that have not been answered yet.
     std::size_t running() const { return m_requests.size(); }
     /// True once both the settings and the backend servers are known.
--- a/src/Pimentoward/Request/RequestReport.cpp
+++ b/src/Pimentoward/Request/RequestReport.cpp
@@ -128,4 +128,11 @@
         .add();
 }
 
+void RequestReport::onCut(const ActiveRequest &request, SteadyTime now)
+{
+    LOG4CPLUS_WARN(requestLog(),
+                   "event=cut request=" << request.id << " route=" << request.route->name
+                                        << " ms=" << milliseconds(now - request.readAt));
+}
+
 } // namespace pimentoward
--- a/src/Pimentoward/Request/RequestReport.h
+++ b/src/Pimentoward/Request/RequestReport.h
@@ -19,6 +19,8 @@
     void onRefused(const RequestId &id, int status, Revision settings, const char *reason);
     /// Reports a request whose caller closed its connection before the answer.
     void onCallerGone(const ActiveRequest &request, SteadyTime now);
+    /// Reports a request that ends without an answer because the process ends.
+    static void onCut(const ActiveRequest &request, SteadyTime now);
     /// Reports the first failure of a backend server after successful replies. `id` is empty if the
     /// affected request has already ended.
     void onBackendFailing(const BackendRecord &backend, const RequestId &id, const char *reason);
--- a/tests/Process/PlannedStopTest.cpp
+++ b/tests/Process/PlannedStopTest.cpp
@@ -58,6 +58,56 @@
     CHECK(fixture.lostRequests() == 0);
 }
 
+// Guards against lookups that users' machines showed as cut around SIGTERM: a domain's VMs stopped
+// in series, so that new requests kept coming, on a route whose backend servers need longer than
+// its timeout.
+TEST_CASE("LOST: a stopping VM answers lookups that run into the timeout of their route", "[rules]")
+{
+    TierProcessFixture::Settings settings = longRequests(3s);
+    settings.site.adjustRoute = [](nlohmann::json &route) {
+        constexpr int timeoutMs = 1100;
+        route["timeoutMs"] = timeoutMs;
+    };
+    settings.site.singleReplicas = 16;
+    TierProcessFixture fixture(settings);
+    for (std::size_t shard = 0; shard < settings.site.shards; ++shard) {
+        for (ShardServer *server : fixture.site().servers(Site::shardName(shard))) {
+            server->changeServiceTime(5ms);
+        }
+    }
+    REQUIRE(fixture.waitUntilServing());
+    fixture.signal(SIGTERM);
+    const SteadyTime end = std::chrono::steady_clock::now() + 5s;
+    while (fixture.isRunning() && std::chrono::steady_clock::now() < end) {
+        TierProcessFixture::Request lookup;
+        lookup.path = "/one/x";
+        lookup.timeLeft = 8s;
+        fixture.send(lookup);
+        fixture.runUntil(50ms, [] { return false; });
+    }
+    CHECK_FALSE(fixture.isRunning());
+    CHECK(fixture.runUntilEnded());
+    CHECK(fixture.lostRequests() == 0);
+}
+
+TEST_CASE("A process that is interrupted twice names the requests that it cuts", "[rules]")
+{
+    TierProcessFixture fixture(longRequests(5ms));
+    REQUIRE(fixture.waitUntilServing());
+    for (ShardServer *server : fixture.site().allServers()) {
+        server->changeServiceTime(8s);
+    }
+    const TierProcessFixture::Outcome &outcome = fixture.send(order());
+    fixture.runUntil(200ms, [] { return false; });
+    fixture.signal(SIGINT);
+    fixture.runUntil(100ms, [] { return false; });
+    fixture.signal(SIGINT);
+    CHECK(fixture.runUntil(2s, [&] { return !fixture.isRunning(); }));
+    const std::string log = fixture.logText();
+    CHECK(log.find("event=cut request=" + outcome.requestId) != std::string::npos);
+    CHECK(log.find("reason=\"interrupt\"") != std::string::npos);
+}
+
 // Guards against a request that is cut without an answer when it still runs at the end of the grace
 // time.
 TEST_CASE("LOST: a request that outlasts a planned stop is answered before the process ends",
--- a/tests/support/TierProcessFixture.cpp
+++ b/tests/support/TierProcessFixture.cpp
@@ -1,5 +1,6 @@
 #include "tests/support/TierProcessFixture.h"
 
+#include "Pimentoward/Core/FileText.h"
 #include "Pimentoward/Process/PreciseLoop.h"
 #include "tests/support/LoopbackHost.h"
 #include "tests/support/ScriptedServer.h"
@@ -98,6 +99,12 @@
     return runUntil(processLimit, [this] { return m_caller->haveAllEnded(); });
 }
 
+std::string TierProcessFixture::logText() const
+{
+    Reason reason;
+    return readFile(m_folder + "/" + processName + ".log", reason).value_or("");
+}
+
 std::size_t TierProcessFixture::lostRequests()
 {
     std::set<RequestId> runs;
--- a/tests/support/TierProcessFixture.h
+++ b/tests/support/TierProcessFixture.h
@@ -37,6 +37,8 @@
     bool waitUntilServing();
     void signal(int number) { m_processes.signal(processName, number); }
     bool isRunning() const { return m_processes.isRunning(processName); }
+    /// What the process has logged so far.
+    std::string logText() const;
 
     /// Sends a request on a new connection. The outcome is filled in while the loop runs.
     Outcome &send(const Request &request) { return m_caller->send(m_callerAddress, request); }
