HttpConnection: an answer whose framing never ends fails its call

Callers would see: a VM out of memory, since the line with a chunk's size that never ends is kept until the call's timeout; or processor time lost to interim answers or empty lines without end (reported by operators of similar systems; looked for here). Cause: libevent bounds the head and the body, but nothing between them. Change: beyond 16 MB of body and 1 MB of anything else the call fails.

--- a/src/Pimentoward/Connection/HttpConnection.cpp
+++ b/src/Pimentoward/Connection/HttpConnection.cpp
@@ -23,6 +23,10 @@
 /// store and of other VMs hold up to some thousand records.
 constexpr ev_ssize_t maxAnswerHeadBytes = 65'536;
 constexpr ev_ssize_t maxAnswerBodyBytes = 16'777'216;
+/// Maximum bytes that a call receives besides the body: the head, interim answers and what frames
+/// the body. libevent limits only the head.
+constexpr std::size_t maxFramingBytes = 1'048'576;
+constexpr std::size_t maxReceivedBytes = maxAnswerBodyBytes + maxFramingBytes;
 
 /// The library's name of a method; nothing if calls do not use the method.
 std::optional<evhttp_cmd_type> commandOf(const std::string &method)
@@ -63,6 +67,9 @@
     DoneHook done;
     std::function<void()> idleClosedHook;
     std::unique_ptr<Timer> deadline;
+    /// Bytes that have arrived since the call was sent.
+    std::size_t receivedBytes = 0;
+    bool isAnswerTooLong = false;
     bool failedAtStart = false;
 
     void finish(std::optional<HttpAnswer> answer, const Reason &reason)
@@ -87,6 +94,8 @@
         evhttp_connection_set_closecb(connection, &State::onClosed, this);
         evhttp_connection_set_max_headers_size(connection, maxAnswerHeadBytes);
         evhttp_connection_set_max_body_size(connection, maxAnswerBodyBytes);
+        evbuffer *input = bufferevent_get_input(evhttp_connection_get_bufferevent(connection));
+        evbuffer_add_cb(input, &State::onInput, this);
     }
 
     void close()
@@ -135,6 +144,27 @@
         }
     }
 
+    static void onInput(evbuffer *input, const evbuffer_cb_info *change, void *self)
+    {
+        auto *state = static_cast<State *>(self);
+        state->receivedBytes += change->n_added;
+        if (state->request != nullptr && !state->isAnswerTooLong) {
+            state->checkLength(*input);
+        }
+    }
+
+    void checkLength(const evbuffer &input)
+    {
+        const std::size_t heldBytes = evbuffer_get_length(&input)
+            + evbuffer_get_length(evhttp_request_get_input_buffer(request));
+        const std::size_t framingBytes = receivedBytes - std::min(receivedBytes, heldBytes);
+        if (receivedBytes > maxReceivedBytes || framingBytes > maxFramingBytes) {
+            isAnswerTooLong = true;
+            // libevent is reading, so the call is ended from the event loop.
+            deadline->startOnce(Duration::zero());
+        }
+    }
+
     void failUnreachable()
     {
         finish(std::nullopt,
@@ -152,7 +182,12 @@
         if (request != nullptr) {
             evhttp_cancel_request(request);
         }
-        if (done != nullptr) {
+        if (done == nullptr) {
+            return;
+        }
+        if (isAnswerTooLong) {
+            finish(std::nullopt, {ResultCode::MayHaveRun, "the answer does not end"});
+        } else {
             finish(std::nullopt,
                    {ResultCode::DeadlineExceeded, "no answer within the timeout of the call"});
         }
@@ -188,6 +223,8 @@
     }
     m_state->done = std::move(done);
     m_state->failedAtStart = false;
+    m_state->receivedBytes = 0;
+    m_state->isAnswerTooLong = false;
     evhttp_request *request = evhttp_request_new(&State::onDone, m_state.get());
     m_state->request = request;
     evkeyvalq *headers = evhttp_request_get_output_headers(request);
--- a/tests/Connection/EndlessRepliesTest.cpp
+++ b/tests/Connection/EndlessRepliesTest.cpp
@@ -122,9 +122,26 @@
 
 TEST_CASE("A call to the store or to another VM fails if its answer does not end")
 {
-    const auto [head, piece] = GENERATE(
-        std::make_pair(std::string("HTTP/1.1 200 OK\r\n"), std::string("X-Field: value\r\n")),
-        std::make_pair(std::string("HTTP/1.1 200 OK\r\n\r\n"), std::string(1'000'000, 'x')));
+    const std::string status = "HTTP/1.1 200 OK\r\n";
+    const std::string chunked = status + "Transfer-Encoding: chunked\r\n\r\n";
+    std::string interim;
+    for (int count = 0; count < 2000; ++count) {
+        interim += "HTTP/1.1 100 Continue\r\n\r\n";
+    }
+    const auto [head, piece] = GENERATE_COPY(
+        std::make_pair(status, std::string("X-Field: value\r\n")),
+        std::make_pair(status + "X-Long: ", std::string(500, 'x')),
+        std::make_pair(std::string(), interim),
+        std::make_pair(std::string(), std::string(500, 'x')),
+        std::make_pair(std::string(), std::string(100'000, '\n')),
+        std::make_pair(status + "\r\n", std::string(1'000'000, 'x')),
+        std::make_pair(status + "Content-Length: 1000000000000\r\n\r\n", std::string(500, 'x')),
+        std::make_pair(chunked, "10000\r\n" + std::string(0x10000, 'x') + "\r\n"),
+        std::make_pair(chunked + "1;", std::string(100'000, 'x')),
+        std::make_pair(chunked, std::string(100'000, '\n')),
+        std::make_pair(chunked + "0\r\n", std::string("X-Trailer: value\r\n")),
+        std::make_pair(chunked + "0\r\nX-Trailer: ", std::string(500, 'x')));
+    CAPTURE(head, piece.substr(0, 20));
     const LoopPtr loop = newLoop();
     EndlessServer server(loop.get(), head, piece);
     HttpClient client(loop.get(), server.address());
