Tests: a reply that breaks off after any byte is no reply

Cause: operators of similar systems told of a backend server that stopped in the middle of its answer's head and closed, whereupon clients got a 200 with an empty or short body. Looked for here, not found. Change: tests only. One without a length is whole at the end of its connection, but not within its head.

--- a/tests/Connection/HttpReaderTest.cpp
+++ b/tests/Connection/HttpReaderTest.cpp
@@ -181,3 +181,46 @@
         }
     }
 }
+
+// Guards against a reply that breaks off and reaches the caller as a whole one.
+TEST_CASE("A reply that ends before its last byte is never whole")
+{
+    const auto [bytes, method] = GENERATE(
+        std::make_pair(
+            std::string("HTTP/1.1 200 OK\r\nX-Stamp: 1\r\nContent-Length: 4\r\n\r\nabcd"), "GET"),
+        std::make_pair(
+            std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Stamp: 1\r\n\r\n"
+                        "2\r\nab\r\n2;x=y\r\ncd\r\n0\r\nX-Trailer: 1\r\n\r\n"),
+            "GET"),
+        std::make_pair(std::string("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"
+                                   "Connection: close\r\nContent-Length: 0\r\n\r\n"),
+                       "GET"),
+        std::make_pair(
+            std::string("HTTP/1.0 200 OK\r\nX-Stamp: 1\r\nContent-Length: 4\r\n\r\nabcd"), "GET"),
+        std::make_pair(std::string("HTTP/1.1 200 OK\r\nX-Stamp: 1\r\nContent-Length: 4\r\n\r\n"),
+                       "HEAD"),
+        std::make_pair(std::string("HTTP/1.1 204 No Content\r\nX-Stamp: 1\r\n\r\n"), "GET"));
+    for (std::size_t length = 0; length <= bytes.size(); ++length) {
+        CAPTURE(bytes.substr(0, length));
+        HttpReader reader(HttpReader::Direction::Replies, {});
+        reader.expectReplyTo(method);
+        auto progress = readInPieces(reader, std::string_view(bytes).substr(0, length), 1000);
+        if (progress == HttpReader::Progress::Unfinished) {
+            progress = reader.readEnd();
+        }
+        CHECK((progress == HttpReader::Progress::Finished) == (length == bytes.size()));
+    }
+}
+
+TEST_CASE("A reply without a length is whole at the end of its connection, but not within its head")
+{
+    const std::string bytes = "HTTP/1.1 200 OK\r\nX-Stamp: 1\r\nContent-Type: a/b\r\n\r\nabcd";
+    const std::size_t headBytes = bytes.find("\r\n\r\n") + 4;
+    for (std::size_t length = 0; length <= bytes.size(); ++length) {
+        CAPTURE(bytes.substr(0, length));
+        HttpReader reader(HttpReader::Direction::Replies, {});
+        REQUIRE(readInPieces(reader, std::string_view(bytes).substr(0, length), 1000)
+                == HttpReader::Progress::Unfinished);
+        CHECK((reader.readEnd() == HttpReader::Progress::Finished) == (length >= headBytes));
+    }
+}
