--- a/src/Pimentoward/Connection/HealthChecker.cpp
+++ b/src/Pimentoward/Connection/HealthChecker.cpp
@@ -68,10 +68,10 @@
     exchange.requestIdHeader = m_settings.headers.backendId;
     m_running.push_back({&link, nullptr, now + m_settings.timeout});
     const auto check = std::prev(m_running.end());
-    check->connection
-        = link.send(exchange, [this, check](ExchangeOutcome outcome, HttpReplyMessage reply) {
-              onEnded(check, outcome, reply);
-          });
+    check->connection = link.send(
+        exchange, [this, check](ExchangeOutcome outcome, const HttpReplyMessage &reply) {
+            onEnded(check, outcome, reply);
+        });
     if (!m_expiryTimer.isPending()) {
         m_expiryTimer.startOnce(m_settings.timeout);
     }
