HttpReader: a reply whose status is no status is malformed

Cause: http_parser reads a status of up to 999 with any number of digits, and HttpReader took all below 200 for interim replies. Status 000 was skipped with its body, and the next reply on the connection became the answer; 600 to 999 and 0200 reached the caller.

Change: the status line is checked for three digits behind one space, the status for 100 to 599 without 101, and interim replies for having no body.

--- a/src/Pimentoward/Connection/HttpReader.cpp
+++ b/src/Pimentoward/Connection/HttpReader.cpp
@@ -8,6 +8,53 @@
 
 /// Maximum number of interim replies (status 1xx) before the final one.
 constexpr unsigned maxInterimReplies = 32;
+constexpr int statusSwitchingProtocols = 101;
+
+/// Checks that the status line of a reply states the status in three digits behind one space, which
+/// http_parser does not.
+class StatusLineCheck
+{
+public:
+    /// Checks the next bytes of a reply, up to the end of the status. Returns false if the status
+    /// is malformed.
+    bool accepts(std::string_view bytes)
+    {
+        for (const char byte : bytes) {
+            if (m_place == Place::Behind) {
+                return true;
+            }
+            if (!accepts(byte)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+private:
+    enum class Place { Before, Version, Status, Behind };
+
+    bool accepts(char byte)
+    {
+        const bool isLineEnd = byte == '\r' || byte == '\n';
+        const bool isEnd = isLineEnd || byte == ' ';
+        if (m_place == Place::Before) {
+            m_place = isLineEnd ? Place::Before : Place::Version;
+        } else if (m_place == Place::Version) {
+            m_place = byte == ' ' ? Place::Status : Place::Version;
+            return !isLineEnd;
+        } else if (isEnd) {
+            constexpr unsigned statusDigits = 3;
+            m_place = Place::Behind;
+            return m_digits == statusDigits;
+        } else {
+            ++m_digits;
+        }
+        return true;
+    }
+
+    Place m_place = Place::Before;
+    unsigned m_digits = 0;
+};
 
 } // namespace
 
@@ -21,6 +68,7 @@
     std::string headerValue;
     std::size_t headBytes = 0;
     unsigned interimReplies = 0;
+    StatusLineCheck statusLine;
     Progress outcome = Progress::Unfinished;
     bool begun = false;
     bool headEnded = false;
@@ -73,7 +121,7 @@
         headEnded = true;
         if (parser.type == HTTP_RESPONSE) {
             reply.status = parser.status_code;
-            return isReplyToHead ? 1 : 0;
+            return onReplyHeadEnd();
         }
         request.method = http_method_str(static_cast<http_method>(parser.method));
         const bool hasLength = (parser.flags & F_CONTENTLENGTH) != 0;
@@ -84,6 +132,27 @@
         return 0;
     }
 
+    /// As onHeadEnd(), for a reply. An interim reply has no body. Nobody asks for other protocols,
+    /// so a reply that switches to one is wrong.
+    int onReplyHeadEnd() const
+    {
+        constexpr int firstStatus = 100;
+        constexpr int lastStatus = 599;
+        const bool isStatus = parser.status_code >= firstStatus && parser.status_code <= lastStatus
+            && parser.status_code != statusSwitchingProtocols;
+        const bool hasBody = (parser.flags & (F_CONTENTLENGTH | F_CHUNKED)) != 0;
+        if (!isStatus || (isInterim() && hasBody)) {
+            return -1;
+        }
+        return isReplyToHead ? 1 : 0;
+    }
+
+    bool isInterim() const
+    {
+        constexpr int firstFinalStatus = 200;
+        return parser.type == HTTP_RESPONSE && parser.status_code < firstFinalStatus;
+    }
+
     int onBody(const char *bytes, std::size_t size)
     {
         if (limits.bodyBytes != 0 && body().size() + size > limits.bodyBytes) {
@@ -99,18 +168,24 @@
         const bool keepsAlive = http_should_keep_alive(&parser) != 0;
         request.keepsConnection = keepsAlive;
         reply.keepsConnection = keepsAlive;
-        constexpr int firstFinalStatus = 200;
-        if (parser.type == HTTP_RESPONSE && parser.status_code < firstFinalStatus) {
-            // This is an interim reply; the final one follows.
+        // Pausing makes http_parser_execute() stop here: further bytes belong to the next message.
+        http_parser_pause(&parser, 1);
+        statusLine = {};
+        if (isInterim()) {
+            // The final reply follows.
             reply = {};
             return ++interimReplies > maxInterimReplies ? 1 : 0;
         }
         outcome = Progress::Finished;
-        // Pausing makes http_parser_execute() stop here: further bytes belong to the next message.
-        http_parser_pause(&parser, 1);
         return 0;
     }
 
+    /// True behind the end of a message.
+    bool isPaused() const { return HTTP_PARSER_ERRNO(&parser) == HPE_PAUSED; }
+    /// Parses bytes up to the end of a message, which may be an interim reply. Returns the number
+    /// of bytes parsed.
+    std::size_t parse(std::string_view bytes);
+
     void reset()
     {
         request = {};
@@ -176,6 +251,16 @@
 
 } // namespace
 
+std::size_t HttpReader::State::parse(std::string_view bytes)
+{
+    static const http_parser_settings callbacks = makeCallbacks<State>();
+    if (parser.type == HTTP_RESPONSE && !statusLine.accepts(bytes)) {
+        outcome = Progress::Malformed;
+        return 0;
+    }
+    return http_parser_execute(&parser, &callbacks, bytes.data(), bytes.size());
+}
+
 HttpReader::HttpReader(Direction direction, const Limits &limits)
     : m_state(std::make_unique<State>(direction))
 {
@@ -186,13 +271,16 @@
 
 HttpReader::Progress HttpReader::read(std::string_view bytes, std::size_t &used)
 {
-    static const http_parser_settings callbacks = makeCallbacks<State>();
     State &state = *m_state;
     used = 0;
     if (state.outcome != Progress::Unfinished) {
         return state.outcome;
     }
-    used = http_parser_execute(&state.parser, &callbacks, bytes.data(), bytes.size());
+    used = state.parse(bytes);
+    while (state.outcome == Progress::Unfinished && state.isPaused()) {
+        http_parser_pause(&state.parser, 0);
+        used += state.parse(bytes.substr(used));
+    }
     if (state.outcome != Progress::Unfinished) {
         return state.outcome;
     }
@@ -207,10 +295,9 @@
 
 HttpReader::Progress HttpReader::readEnd()
 {
-    static const http_parser_settings callbacks = makeCallbacks<State>();
     State &state = *m_state;
     if (state.outcome == Progress::Unfinished) {
-        http_parser_execute(&state.parser, &callbacks, nullptr, 0);
+        state.parse({});
     }
     return state.outcome == Progress::Unfinished ? Progress::Malformed : state.outcome;
 }
--- a/standins/ShardServer.h
+++ b/standins/ShardServer.h
@@ -41,6 +41,8 @@
         NoLength,
         /// Runs the request and resets the connection without a reply.
         ConnectionReset,
+        /// Runs the request and sends the right reply, but with the status 000.
+        NoStatus,
         /// Runs the request and replies with status 500 and a signature.
         Failure,
         /// Runs the request and sends a reply without a signature.
--- a/tests/Process/TierRulesTest.cpp
+++ b/tests/Process/TierRulesTest.cpp
@@ -21,6 +21,8 @@
 
 using Fault = ShardServer::Fault;
 
+constexpr int statusBadGateway = 502;
+
 /// Returns how often backend servers of `service` ran each request, by request ID.
 std::map<std::string, int> runsOf(TierFixture &fixture, const std::string &service)
 {
@@ -66,6 +68,21 @@
     CHECK((wrong == 0) == isOn);
 }
 
+TEST_CASE("MIXED: a reply without a status reaches no caller and starts no other answer", "[rules]")
+{
+    TierFixture fixture({});
+    REQUIRE(fixture.waitUntilKnown());
+    addFaults(fixture, {Fault::NoStatus}, 1);
+    for (const char *path : {"/one/x", "/all/x"}) {
+        CHECK(fixture.sendAndWait(request(path)).status == statusBadGateway);
+    }
+    addFaults(fixture, {Fault::NoStatus}, 0.5);
+    CHECK(wrongSuccesses(fixture, 200) == 0);
+    const auto hasStatus
+        = [](const TierFixture::Outcome &outcome) { return outcome.status >= 200; };
+    CHECK(std::all_of(fixture.outcomes().begin(), fixture.outcomes().end(), hasStatus));
+}
+
 TEST_CASE("MIXED: an answer below the minimum coverage is not a success", "[rules]")
 {
     const bool isOn = GENERATE(true, false);
