Forwarder: API keys name the workspace of a request

Change: WorkspaceTable is part of the settings version; identifyCaller() answers 401 without a valid key on a route that is not public; the forwarded head names the workspace and never holds the key. Requests that still wait are refused when their key is taken away. A workspace's priority goes before its route's. RequestAdmission is asked before a limited workspace's request starts. What happens when a request arrives moves to ForwarderArrivals.cpp.

Settings without workspaces forward key and name as they came.

--- a/cmake/TierSources.cmake
+++ b/cmake/TierSources.cmake
@@ -53,8 +53,10 @@
   Request/AnswerTiming.cpp
   Request/BackendChooser.cpp
   Request/BackendSelector.cpp
+  Request/CallerIdentity.cpp
   Request/ForwardMessages.cpp
   Request/Forwarder.cpp
+  Request/ForwarderArrivals.cpp
   Request/ForwarderExchanges.cpp
   Request/Gather.cpp
   Request/GatherAnswer.cpp
@@ -68,5 +70,6 @@
   Request/WeightedRoundRobin.cpp
   Version/BackendDirectory.cpp
   Version/RouteTable.cpp
+  Version/WorkspaceTable.cpp
 )
 list(TRANSFORM TIER_SOURCES PREPEND src/Pimentoward/)
--- a/src/Pimentoward/Connection/HeaderNames.h
+++ b/src/Pimentoward/Connection/HeaderNames.h
@@ -27,6 +27,11 @@
     std::string backendId;
     /// Milliseconds for which a backend server stays cold. Sent in its health replies.
     std::string coldLeft;
+    /// API key of a caller, behind `keyScheme` and a space. Never sent to backend servers.
+    std::string authorization;
+    std::string keyScheme;
+    /// Name of the workspace that holds the caller's API key. Sent to backend servers.
+    std::string workspace;
 };
 
 } // namespace pimentoward
--- a/src/Pimentoward/Process/ServingTask.cpp
+++ b/src/Pimentoward/Process/ServingTask.cpp
@@ -119,6 +119,11 @@
     m_task.post([this, areOutdated] { m_forwarder.changeRecordsOutdated(areOutdated); });
 }
 
+void ServingTask::postAdmission(RequestAdmission *admission)
+{
+    m_task.post([this, admission] { m_forwarder.changeAdmission(admission); });
+}
+
 void ServingTask::postSharedLimits(const SharedRetryBudget::Settings &retries,
                                    const ColdLimit::Settings &cold)
 {
--- a/src/Pimentoward/Process/ServingTask.h
+++ b/src/Pimentoward/Process/ServingTask.h
@@ -52,6 +52,11 @@
     /// Tells whether the records of backend servers may be outdated, as they are until this
     /// function is called.
     void postRecordsOutdated(bool areOutdated);
+    /// Sets who decides which requests of workspaces may run within their rate limits; see
+    /// Forwarder::changeAdmission().
+    void postAdmission(RequestAdmission *admission);
+    /// Runs `hook` on this task.
+    void postCall(std::function<void()> hook) { m_task.post(std::move(hook)); }
     /// Changes the limits that all VMs share: the retry budget and the limit of cold backend
     /// servers.
     void postSharedLimits(const SharedRetryBudget::Settings &retries,
--- a/src/Pimentoward/Request/ActiveRequest.h
+++ b/src/Pimentoward/Request/ActiveRequest.h
@@ -2,6 +2,7 @@
 
 #include "Pimentoward/Connection/CallerConnection.h"
 #include "Pimentoward/Process/Timer.h"
+#include "Pimentoward/Request/CallerIdentity.h"
 #include "Pimentoward/Request/Gather.h"
 #include "Pimentoward/Request/RequestPlanner.h"
 #include "Pimentoward/Version/RouteTable.h"
@@ -37,6 +38,8 @@
     /// The routes that were in force when the request was read; owns `route`.
     RouteTablePtr routes;
     const Route *route = nullptr;
+    /// Who sent the request; its workspace belongs to `routes`.
+    CallerIdentity identity;
     RequestId id;
     std::string method;
     /// Request line and header fields, in the form that is sent to every backend server.
--- a/src/Pimentoward/Request/ForwardMessages.cpp
+++ b/src/Pimentoward/Request/ForwardMessages.cpp
@@ -27,7 +27,8 @@
     return std::chrono::milliseconds(std::min(value, maxTimeLeft.count()));
 }
 
-std::string ForwardMessages::head(const HttpRequestMessage &request) const
+std::string ForwardMessages::head(const HttpRequestMessage &request, bool hasWorkspaces,
+                                  const std::string &workspace) const
 {
     HttpRequestMessage forwarded;
     forwarded.method = request.method;
@@ -37,6 +38,13 @@
     forwarded.headers.remove(m_names.timeLeft);
     forwarded.headers.remove(m_names.expectedBackend);
     forwarded.headers.remove("Expect");
+    if (hasWorkspaces) {
+        forwarded.headers.remove(m_names.authorization);
+        forwarded.headers.remove(m_names.workspace);
+        if (!workspace.empty()) {
+            forwarded.headers.add(m_names.workspace, workspace);
+        }
+    }
     return serializeHead(forwarded);
 }
 
--- a/src/Pimentoward/Request/Forwarder.cpp
+++ b/src/Pimentoward/Request/Forwarder.cpp
@@ -1,21 +1,11 @@
 #include "Pimentoward/Request/Forwarder.h"
 
-#include "Pimentoward/Connection/RetryAfter.h"
-
 #include <algorithm>
 
 namespace pimentoward {
 
 namespace {
 
-constexpr int statusBadRequest = 400;
-constexpr int statusNotFound = 404;
-constexpr int statusUnavailable = 503;
-/// Time after which a request that has arrived before this VM knows any settings may be sent again.
-constexpr std::chrono::milliseconds noSettingsRetryAfter {300};
-/// A request that this VM refuses because it stops may be sent to another VM at once.
-constexpr std::chrono::milliseconds stoppingRetryAfter {0};
-
 BackendSelector::Settings selectorSettings(const ForwarderSettings &settings)
 {
     BackendSelector::Settings selector;
@@ -65,6 +55,7 @@
 void Forwarder::changeRoutes(RouteTablePtr routes)
 {
     m_routes = std::move(routes);
+    refuseUnknownCallers();
     updateFleet();
 }
 
@@ -126,74 +117,6 @@
     m_dispatchTimer.startOnce(Duration::zero());
 }
 
-void Forwarder::onRequest(CallerConnection &caller, CallerConnection::Arrival arrival)
-{
-    const HttpHeaders &headers = arrival.request.headers;
-    const RequestId id(headers.value(m_settings.headers.requestId));
-    if (!canServe() && m_settings.checks.settingsFirst) {
-        refuse(
-            caller, id,
-            {statusUnavailable, "no settings or backend servers known yet", noSettingsRetryAfter});
-        return;
-    }
-    const Route *route
-        = m_routes ? m_routes->find(headers.value("Host"), arrival.request.target) : nullptr;
-    if (route == nullptr) {
-        refuse(caller, id, {statusNotFound, "no route for this host and path", {}});
-        return;
-    }
-    if (id.empty()) {
-        refuse(caller, id, {statusBadRequest, "the request has no request id", {}});
-        return;
-    }
-    startRequest(caller, std::move(arrival), *route, id);
-}
-
-void Forwarder::refuse(CallerConnection &caller, const RequestId &id, const Refusal &refusal)
-{
-    m_report.onRefused(id, refusal.status, m_routes ? m_routes->revision() : 0, refusal.reason);
-    HttpReplyMessage reply;
-    reply.status = refusal.status;
-    if (refusal.retryAfter) {
-        reply.headers.add("Retry-After", retryAfterText(*refusal.retryAfter));
-    }
-    caller.reply(std::move(reply));
-}
-
-void Forwarder::startRequest(CallerConnection &caller, CallerConnection::Arrival arrival,
-                             const Route &route, const RequestId &id)
-{
-    const SteadyTime now = std::chrono::steady_clock::now();
-    const RequestPlan plan = m_planner.plan(
-        route, {arrival.readAt, m_messages.timeLeft(arrival.request), arrival.isFirst});
-    for (const ServiceName &service : plan.gather.parts) {
-        budget(service).onRequest(now);
-    }
-    if (!plan.canBeAnswered) {
-        refuse(caller, id,
-               {statusUnavailable, "this VM stops before the request can be answered",
-                stoppingRetryAfter});
-        return;
-    }
-    const auto onTimer = [this, key = &caller] {
-        ActiveRequest &active = *m_requests.at(key);
-        carryOut(active, active.gather.onTimer(std::chrono::steady_clock::now()));
-    };
-    auto owned = std::make_unique<ActiveRequest>(m_loop, plan, m_environment,
-                                                 m_settings.checks.gather, onTimer);
-    ActiveRequest &request = *owned;
-    request.caller = &caller;
-    request.routes = m_routes;
-    request.route = &route;
-    request.id = id;
-    request.method = arrival.request.method;
-    request.head = m_messages.head(arrival.request);
-    request.body = std::move(arrival.request.body);
-    request.readAt = arrival.readAt;
-    m_requests[&caller] = std::move(owned);
-    carryOut(request, request.gather.start(now));
-}
-
 void Forwarder::carryOut(ActiveRequest &request, GatherActions actions)
 {
     for (GatherAction &action : actions) {
@@ -232,6 +155,7 @@
 {
     const auto found = m_requests.find(&caller);
     if (found == m_requests.end()) {
+        m_undecided.remove_if([&](const Undecided &entry) { return entry.caller == &caller; });
         return;
     }
     ActiveRequest &request = *found->second;
--- a/src/Pimentoward/Request/Forwarder.h
+++ b/src/Pimentoward/Request/Forwarder.h
@@ -7,6 +7,7 @@
 #include "Pimentoward/Request/ActiveRequest.h"
 #include "Pimentoward/Request/BackendSelector.h"
 #include "Pimentoward/Request/ForwardMessages.h"
+#include "Pimentoward/Request/RequestAdmission.h"
 #include "Pimentoward/Request/RequestPlanner.h"
 #include "Pimentoward/Request/RequestReport.h"
 #include "Pimentoward/Request/SharedRetryBudget.h"
@@ -94,6 +95,10 @@
     void changeSharedLimits(const SharedRetryBudget::Settings &retries,
                             const ColdLimit::Settings &cold);
 
+    /// Sets who decides which requests of workspaces may run within their rate limits; it must
+    /// outlive this object. Without it the limits are not enforced.
+    void changeAdmission(RequestAdmission *admission) { m_admission = admission; }
+
     /// Sets the time by which this VM answers all requests because it stops. Running requests end
     /// then, and new ones that cannot be answered by then are refused.
     void changeLastAnswerTime(SteadyTime time);
@@ -105,7 +110,7 @@
     /// Reports each running request as cut, because the process ends.
     void reportCutRequests();
     /// Number of requests that have not been answered yet.
-    std::size_t running() const { return m_requests.size(); }
+    std::size_t running() const { return m_requests.size() + m_undecided.size(); }
     /// True once both the settings and the backend servers are known.
     bool canServe() const { return m_routes != nullptr && m_backends != nullptr; }
     const BackendFleet &fleet() const { return m_fleet; }
@@ -140,9 +145,25 @@
         std::optional<Duration> retryAfter;
     };
 
+    /// A request that waits for the decision whether its workspace's limit has room for it.
+    struct Undecided
+    {
+        std::uint64_t number = 0;
+        CallerConnection *caller = nullptr;
+        CallerConnection::Arrival arrival;
+        RouteTablePtr routes;
+        const Route *route = nullptr;
+        CallerIdentity identity;
+        RequestId id;
+    };
+
+    /// Starts a request at once, or after the decision on its workspace's limit.
+    void admit(Undecided request);
+    void onDecision(std::uint64_t number, const RequestAdmission::Decision &decision);
+    /// Refuses the requests that still wait although later settings do not know their keys.
+    void refuseUnknownCallers();
     void refuse(CallerConnection &caller, const RequestId &id, const Refusal &refusal);
-    void startRequest(CallerConnection &caller, CallerConnection::Arrival arrival,
-                      const Route &route, const RequestId &id);
+    void startRequest(Undecided arrived);
     void carryOut(ActiveRequest &request, GatherActions actions);
     /// Starts the timer for the next decision of the request.
     static void startTimer(ActiveRequest &request);
@@ -181,6 +202,9 @@
     Gather::Environment m_environment;
     std::unordered_map<ServiceName, SharedRetryBudget> m_budgets;
     std::unordered_map<CallerConnection *, std::unique_ptr<ActiveRequest>> m_requests;
+    RequestAdmission *m_admission = nullptr;
+    std::list<Undecided> m_undecided;
+    std::uint64_t m_lastUndecided = 0;
     Exchanges m_exchanges;
     UrgencyQueue<ActiveRequest> m_waiting;
     /// Services that have had free capacity since waiting requests were last dispatched.
--- a/src/Pimentoward/Request/Gather.h
+++ b/src/Pimentoward/Request/Gather.h
@@ -71,6 +71,8 @@
     void endBy(SteadyTime time) { m_plan.endBy(time); }
     /// The time at which a decision is due even if no reply arrives.
     SteadyTime nextTimer() const;
+    /// True if no attempt has been sent yet.
+    bool isUnsent() const { return m_attempts.empty(); }
     bool isFinished() const { return m_isFinished; }
     /// True while a part waits for free capacity at its backend servers.
     bool isWaiting() const;
--- a/src/Pimentoward/Request/RequestPlanner.cpp
+++ b/src/Pimentoward/Request/RequestPlanner.cpp
@@ -16,7 +16,8 @@
     plan.gather = gatherPlan(route, arrival);
     plan.medianTime = m_latencies.medianTime(route);
     const Duration needed = scaled(plan.medianTime, m_settings.mediansNeeded);
-    plan.urgency = {route.priority, arrival.readAt, plan.gather.answerBy - needed};
+    plan.urgency = {arrival.priority.value_or(route.priority), arrival.readAt,
+                    plan.gather.answerBy - needed};
     endWithService(plan, route, arrival.readAt, needed);
     return plan;
 }
--- a/src/Pimentoward/Request/RequestPlanner.h
+++ b/src/Pimentoward/Request/RequestPlanner.h
@@ -48,6 +48,8 @@
         /// no time.
         std::optional<Duration> timeLeft;
         bool isFirstOnConnection = false;
+        /// Priority of the caller's workspace, in place of the route's.
+        std::optional<int> priority = std::nullopt;
     };
 
     explicit RequestPlanner(const Settings &settings);
--- a/src/Pimentoward/Version/Route.h
+++ b/src/Pimentoward/Version/Route.h
@@ -22,6 +22,8 @@
     std::string host;
     /// Begins and ends with a slash.
     std::string prefix;
+    /// True if callers need no API key.
+    bool isPublic = false;
     /// True if a request may safely run more than once.
     bool isIdempotent = false;
     /// Maximum time until a caller gets an answer.
--- a/src/Pimentoward/Version/RouteTable.cpp
+++ b/src/Pimentoward/Version/RouteTable.cpp
@@ -20,11 +20,12 @@
 
 RouteTable::RouteTable(Revision revision, std::vector<Route> routes,
                        std::unordered_map<ServiceName, ServiceRules> services,
-                       const CallerLimits &limits)
+                       const CallerLimits &limits, WorkspaceTable workspaces)
     : m_revision(revision)
     , m_routes(std::move(routes))
     , m_services(std::move(services))
     , m_limits(limits)
+    , m_workspaces(std::move(workspaces))
 {
     for (const Route &route : m_routes) {
         m_byHost[hostKey(route.host)][route.prefix] = &route;
--- a/src/Pimentoward/Version/RouteTable.h
+++ b/src/Pimentoward/Version/RouteTable.h
@@ -2,6 +2,7 @@
 
 #include "Pimentoward/Connection/CallerServerSettings.h"
 #include "Pimentoward/Version/Route.h"
+#include "Pimentoward/Version/WorkspaceTable.h"
 
 #include <memory>
 #include <string_view>
@@ -23,13 +24,14 @@
     std::string healthPath;
 };
 
-/// The routes and services of one revision of the operators' settings. Immutable. A request uses
-/// the table that was in force when it started until it ends.
+/// The routes, services and workspaces of one revision of the operators' settings. Immutable. A
+/// request uses the table that was in force when it started until it ends.
 class RouteTable
 {
 public:
     RouteTable(Revision revision, std::vector<Route> routes,
-               std::unordered_map<ServiceName, ServiceRules> services, const CallerLimits &limits);
+               std::unordered_map<ServiceName, ServiceRules> services, const CallerLimits &limits,
+               WorkspaceTable workspaces = {});
     RouteTable(const RouteTable &) = delete;
     RouteTable &operator=(const RouteTable &) = delete;
 
@@ -37,6 +39,7 @@
     Revision revision() const { return m_revision; }
     const CallerLimits &limits() const { return m_limits; }
     const std::vector<Route> &routes() const { return m_routes; }
+    const WorkspaceTable &workspaces() const { return m_workspaces; }
     /// The route of `host` whose prefix is the longest one that `path` starts with; null if no
     /// prefix matches. A port in `host` is ignored.
     const Route *find(std::string_view host, std::string_view path) const;
@@ -50,6 +53,7 @@
     std::vector<Route> m_routes;
     std::unordered_map<ServiceName, ServiceRules> m_services;
     CallerLimits m_limits;
+    WorkspaceTable m_workspaces;
     std::unordered_map<std::string, RoutesByPrefix> m_byHost;
 };
 
--- a/src/Pimentoward/Version/WorkspaceTable.h
+++ b/src/Pimentoward/Version/WorkspaceTable.h
@@ -2,6 +2,7 @@
 
 #include "Pimentoward/Version/Workspace.h"
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -10,7 +11,7 @@
 namespace pimentoward {
 
 /// The workspaces of one revision of the operators' settings, and the API keys that identify them.
-/// Immutable. Without workspaces, requests need no key.
+/// Immutable.
 class WorkspaceTable
 {
 public:
@@ -21,11 +22,13 @@
         std::vector<std::string> keys;
     };
 
+    /// For settings without workspaces: requests need no key.
     WorkspaceTable() = default;
+    /// If two entries hold the same key, it identifies the first of them.
     explicit WorkspaceTable(std::vector<Entry> entries);
 
-    /// True if the settings name no workspace.
-    bool isEmpty() const { return m_workspaces.empty(); }
+    /// False if the settings have no workspaces.
+    bool requiresKeys() const { return m_requiresKeys; }
     /// The workspace that holds `key`; null if there is none. The time taken does not depend on
     /// how many bytes of a wrong key are right.
     const Workspace *find(std::string_view key) const;
@@ -34,9 +37,17 @@
     const std::vector<Workspace> &workspaces() const { return m_workspaces; }
 
 private:
+    struct Key
+    {
+        std::string text;
+        std::size_t workspace = 0;
+    };
+
+    bool m_requiresKeys = false;
     std::vector<Workspace> m_workspaces;
-    /// Index in m_workspaces by digest of the key; the keys themselves are not kept.
-    std::unordered_map<std::string, std::size_t> m_byKeyDigest;
+    /// Keys by a hash of their text. Callers cannot compute the hash, since its seed is secret.
+    std::unordered_multimap<std::uint64_t, Key> m_keys;
+    std::unordered_map<std::string, std::size_t> m_byName;
 };
 
 } // namespace pimentoward
--- a/standins/ShardServer.cpp
+++ b/standins/ShardServer.cpp
@@ -132,6 +132,7 @@
     run.method = request.method;
     run.target = request.target;
     run.body = request.body;
+    run.headers = request.headers;
     run.timeLeft = std::chrono::milliseconds(
         std::atoll(std::string(request.headers.value(m_settings.headers.timeLeft)).c_str()));
     run.started = now;
--- a/standins/ShardServer.h
+++ b/standins/ShardServer.h
@@ -84,6 +84,7 @@
         std::string method;
         std::string target;
         std::string body;
+        HttpHeaders headers;
         /// Time until the deadline, as the request's header states it.
         std::chrono::milliseconds timeLeft {0};
         SteadyTime started {};
--- a/standins/SiteCaller.cpp
+++ b/standins/SiteCaller.cpp
@@ -28,6 +28,9 @@
     message.headers.add("Host", m_host);
     message.headers.add(m_headerNames.requestId, outcome.requestId);
     message.headers.add(m_headerNames.timeLeft, std::to_string(request.timeLeft.count()));
+    for (const HttpHeader &field : request.headers) {
+        message.headers.add(field.name, field.value);
+    }
     m_running.emplace_back();
     Running &running = m_running.back();
     running.sentAt = std::chrono::steady_clock::now();
--- a/standins/SiteCaller.h
+++ b/standins/SiteCaller.h
@@ -9,6 +9,7 @@
 #include <list>
 #include <memory>
 #include <string>
+#include <vector>
 
 struct event_base;
 
@@ -24,6 +25,8 @@
         std::string method = "GET";
         std::string path = "/all/x";
         std::string body;
+        /// Further header fields.
+        std::vector<HttpHeader> headers;
         std::chrono::milliseconds timeLeft {1000};
         /// The caller disconnects after this time; 0 if it waits for the answer.
         std::chrono::milliseconds disconnectAfter {0};
