--- a/src/Pimentoward/Version/WorkspaceTable.cpp
+++ b/src/Pimentoward/Version/WorkspaceTable.cpp
@@ -41,8 +41,9 @@
         m_byName.emplace(entry.workspace.name, index);
         m_workspaces.push_back(std::move(entry.workspace));
         for (std::string &key : entry.keys) {
+            const std::uint64_t hash = hashOf(key);
             if (find(key) == nullptr) {
-                m_keys.emplace(hashOf(key), Key {std::move(key), index});
+                m_keys.emplace(hash, Key {std::move(key), index});
             }
         }
     }
