--- a/cmake/TierSources.cmake
+++ b/cmake/TierSources.cmake
@@ -7,7 +7,9 @@
   Core/CallPacer.cpp
   Core/Compression.cpp
   Core/FileText.cpp
+  Core/JsonRepair.cpp
   Core/Log.cpp
+  Core/PlainText.cpp
   Core/ResultCode.cpp
   Connection/BackendConnection.cpp
   Connection/BackendFleet.cpp
--- a/src/Pimentoward/Core/BoundedAppender.cpp
+++ b/src/Pimentoward/Core/BoundedAppender.cpp
@@ -1,5 +1,7 @@
 #include "Pimentoward/Core/BoundedAppender.h"
 
+#include "Pimentoward/Core/PlainText.h"
+
 #include <log4cplus/spi/loggingevent.h>
 #include <poll.h>
 #include <unistd.h>
@@ -46,6 +48,9 @@
     std::ostringstream text;
     layout->formatAndAppend(text, event);
     std::string line = text.str();
+    line.pop_back();
+    // Names and IDs in the line come from other writers; none may begin a line of its own.
+    line = cleanText(line) + '\n';
     if (m_dropped > 0) {
         line.insert(line.size() - 1, " dropped_before=" + std::to_string(m_dropped));
     }
--- a/src/Pimentoward/Core/BoundedAppender.h
+++ b/src/Pimentoward/Core/BoundedAppender.h
@@ -8,7 +8,8 @@
 
 namespace pimentoward {
 
-/// Writes log lines to a file descriptor and never blocks. A line is dropped and counted if the
+/// Writes log lines to a file descriptor and never blocks. Control characters in a line and bytes
+/// that are no UTF-8 are written as %XX. A line is dropped and counted if the
 /// descriptor is not writable or if lines exceed the allowed rate. The next line that is written
 /// states how many were dropped.
 class BoundedAppender final : public log4cplus::Appender
--- a/src/Pimentoward/Core/BoundedJson.cpp
+++ b/src/Pimentoward/Core/BoundedJson.cpp
@@ -1,5 +1,7 @@
 #include "Pimentoward/Core/BoundedJson.h"
 
+#include "Pimentoward/Core/JsonRepair.h"
+
 namespace pimentoward {
 
 namespace {
@@ -73,6 +75,12 @@
     return Json::parse(text, nullptr, throws);
 }
 
+nlohmann::json parseJsonWithOddValues(std::string_view text)
+{
+    Json json = parseJson(text);
+    return json.is_discarded() ? parseJson(repairJson(text, maxJsonDepth)) : json;
+}
+
 nlohmann::json parseCbor(std::string_view bytes)
 {
     constexpr bool isStrict = true;
--- a/src/Pimentoward/Core/BoundedJson.h
+++ b/src/Pimentoward/Core/BoundedJson.h
@@ -14,6 +14,10 @@
 /// Parses JSON text. Returns a discarded value if the text is malformed, contains a number that a
 /// double cannot hold, or is nested deeper than `maxJsonDepth`.
 nlohmann::json parseJson(std::string_view text);
+/// Parses JSON text in which other writers' values stand beside each other, so that one odd value
+/// does not spoil the others. Values that parseJson() refuses are replaced as repairJson() states;
+/// a text that is malformed otherwise still gives a discarded value.
+nlohmann::json parseJsonWithOddValues(std::string_view text);
 /// Parses CBOR. Returns a discarded value if the bytes are malformed or nested deeper than
 /// `maxJsonDepth`.
 nlohmann::json parseCbor(std::string_view bytes);
--- a/src/Pimentoward/Discovery/DiscoveredRecords.cpp
+++ b/src/Pimentoward/Discovery/DiscoveredRecords.cpp
@@ -1,6 +1,7 @@
 #include "Pimentoward/Discovery/DiscoveredRecords.h"
 
 #include "Pimentoward/Core/Log.h"
+#include "Pimentoward/Core/PlainText.h"
 #include "Pimentoward/Discovery/MemberAnnouncement.h"
 
 #include <algorithm>
@@ -46,7 +47,8 @@
         applyBackend(*id, item);
     } else if (const auto domain = withoutPrefix(item.key, m_codec.domainOutPrefix)) {
         LOG4CPLUS_INFO(recordsLog(),
-                       "event=domain-out domain=" << *domain << " revision=" << item.revision);
+                       "event=domain-out domain=" << logText(*domain)
+                                                  << " revision=" << item.revision);
         m_directory.setDomainOutOfService(*domain, true);
     } else if (const auto member = withoutPrefix(item.key, m_codec.memberPrefix)) {
         applyMember(*member, item);
@@ -62,8 +64,10 @@
         return;
     }
     LOG4CPLUS_WARN(recordsLog(),
-                   "event=member-unreadable member=" << member << " revision=" << item.revision
+                   "event=member-unreadable member=" << logText(member)
+                                                     << " revision=" << item.revision
                                                      << " reason=\"" << reason.text << '"');
+    reportUnusable(RecordKind::Vm, 1);
 }
 
 void DiscoveredRecords::applyBackend(const BackendServerId &id, const StoreItem &item)
@@ -72,13 +76,15 @@
     std::optional<BackendRecord> record = m_codec.readBackend(id, item.value, reason);
     if (!record) {
         LOG4CPLUS_WARN(recordsLog(),
-                       "event=backend-unreadable backend=" << id << " revision=" << item.revision
+                       "event=backend-unreadable backend=" << logText(id)
+                                                           << " revision=" << item.revision
                                                            << " reason=\"" << reason.text << '"');
+        reportUnusable(RecordKind::BackendServer, 1);
     } else {
         LOG4CPLUS_INFO(recordsLog(),
-                       "event=backend backend=" << id << " service=" << record->service
+                       "event=backend backend=" << id << " service=" << logText(record->service)
                                                 << " address=" << record->address.toString()
-                                                << " domain=" << record->failureDomain
+                                                << " domain=" << logText(record->failureDomain)
                                                 << " leaving=" << record->isLeaving
                                                 << " incarnation=" << record->incarnation
                                                 << " revision=" << item.revision);
@@ -96,6 +102,7 @@
                         "event=settings-unreadable settings=" << current << " revision="
                                                               << item.revision << " reason=\""
                                                               << reason.text << '"');
+        reportUnusable(RecordKind::Settings, 1);
         return;
     }
     if (m_requiresNewerSettings && m_routes && routes->revision() <= current) {
@@ -111,16 +118,23 @@
     m_hooks.onRoutes(m_routes);
 }
 
+void DiscoveredRecords::reportUnusable(RecordKind kind, std::size_t count)
+{
+    if (count > 0 && m_hooks.onUnusable) {
+        m_hooks.onUnusable(kind, count);
+    }
+}
+
 void DiscoveredRecords::onRemoved(const std::string &key, SteadyTime now)
 {
     if (const auto id = withoutPrefix(key, m_codec.backendPrefix)) {
-        LOG4CPLUS_INFO(recordsLog(), "event=backend-gone backend=" << *id);
+        LOG4CPLUS_INFO(recordsLog(), "event=backend-gone backend=" << logText(*id));
         m_directory.onRemoved(*id, now);
     } else if (const auto domain = withoutPrefix(key, m_codec.domainOutPrefix)) {
-        LOG4CPLUS_INFO(recordsLog(), "event=domain-back domain=" << *domain);
+        LOG4CPLUS_INFO(recordsLog(), "event=domain-back domain=" << logText(*domain));
         m_directory.setDomainOutOfService(*domain, false);
     } else if (const auto member = withoutPrefix(key, m_codec.memberPrefix)) {
-        LOG4CPLUS_INFO(recordsLog(), "event=member-gone member=" << *member);
+        LOG4CPLUS_INFO(recordsLog(), "event=member-gone member=" << logText(*member));
         m_members.onMemberRemoved(*member, now);
         m_memberHooks.onMemberRemoved(*member);
     }
--- a/src/Pimentoward/Discovery/DiscoveredRecords.h
+++ b/src/Pimentoward/Discovery/DiscoveredRecords.h
@@ -14,6 +14,9 @@
 
 namespace pimentoward {
 
+/// A kind of record of the store.
+enum class RecordKind { StoreEntry, BackendServer, Vm, Settings };
+
 /// Turns the records of the store into the state in force: the settings, the backend servers in
 /// service, and the VMs that share limits. The revision of the settings only increases. Apart from
 /// log lines, this class does no input or output.
@@ -36,6 +39,8 @@
         std::function<void(RouteTablePtr)> onRoutes;
         std::function<void(BackendListPtr)> onBackends;
         std::function<void(std::vector<MemberId>)> onMembers;
+        /// Receives the number of records that were read and cannot be used. May be empty.
+        std::function<void(RecordKind, std::size_t)> onUnusable {};
     };
 
     /// Hooks that receive the record of each VM when it is written, and the VM's ID when its record
@@ -55,6 +60,8 @@
     void onRemoved(const std::string &key, SteadyTime now);
     /// Reports that the store was last seen failing at `time`.
     void onOutage(SteadyTime time) { m_directory.onOutage(time); }
+    /// Reports that `count` entries of the store's answer could not be used.
+    void onLeftOut(std::size_t count) { reportUnusable(RecordKind::StoreEntry, count); }
     /// Applies the record of one VM. Discovery also calls this for records that it has read outside
     /// the mirror.
     void applyMember(const MemberId &member, const StoreItem &item);
@@ -69,6 +76,7 @@
 private:
     void applyBackend(const BackendServerId &id, const StoreItem &item);
     void applyRoutes(const StoreItem &item);
+    void reportUnusable(RecordKind kind, std::size_t count);
 
     RecordCodec m_codec;
     bool m_requiresNewerSettings;
--- a/src/Pimentoward/Discovery/Discovery.cpp
+++ b/src/Pimentoward/Discovery/Discovery.cpp
@@ -119,6 +119,7 @@
                   [this](const std::optional<StorePage> &page, const StoreFailure &failure) {
                       if (page) {
                           onStoreAnswered();
+                          m_records.onLeftOut(page->leftOut);
                           m_mirror.onPage(*page);
                       } else {
                           onStoreFailed(failure);
@@ -142,6 +143,7 @@
                   [this](const std::optional<StoreChanges> &changes, const StoreFailure &failure) {
                       if (changes) {
                           onStoreAnswered();
+                          m_records.onLeftOut(changes->leftOut);
                           m_mirror.onChanges(*changes);
                       } else {
                           onStoreFailed(failure);
--- a/src/Pimentoward/Discovery/KeyValueStore.h
+++ b/src/Pimentoward/Discovery/KeyValueStore.h
@@ -39,6 +39,8 @@
     bool hasMore = false;
     /// Revision of the store when the page was read.
     Revision revision = 0;
+    /// Number of items that cannot be used and are not in `items`.
+    std::size_t leftOut = 0;
 };
 
 /// The changes after a revision.
@@ -47,6 +49,8 @@
     std::vector<StoreEvent> events;
     /// The revision from which the next watch continues.
     Revision revision = 0;
+    /// Number of changes that cannot be used and are not in `events`.
+    std::size_t leftOut = 0;
 };
 
 /// A lease that the store has granted.
--- a/src/Pimentoward/Process/Metrics.cpp
+++ b/src/Pimentoward/Process/Metrics.cpp
@@ -1,20 +1,19 @@
 #include "Pimentoward/Process/Metrics.h"
 
+#include "Pimentoward/Core/PlainText.h"
+
 #include <sstream>
 
 namespace pimentoward {
 
 namespace {
 
-/// Escapes a label value as the Prometheus text format requires.
+/// Escapes a label value as the Prometheus text format requires. It must be UTF-8: a reader may
+/// refuse all metrics for one value that is not.
 std::string escaped(const std::string &value)
 {
     std::string result;
-    for (const char character : value) {
-        if (character == '\n') {
-            result += "\\n";
-            continue;
-        }
+    for (const char character : cleanText(value)) {
         if (character == '"' || character == '\\') {
             result += '\\';
         }
--- a/src/Pimentoward/Process/ServingTask.cpp
+++ b/src/Pimentoward/Process/ServingTask.cpp
@@ -10,6 +10,22 @@
 constexpr std::chrono::seconds metricsWindow {60};
 constexpr int statusUnavailable = 503;
 
+/// The kind of a record as the metrics name it.
+const char *labelOf(RecordKind kind)
+{
+    switch (kind) {
+    case RecordKind::StoreEntry:
+        return "entry";
+    case RecordKind::BackendServer:
+        return "backend";
+    case RecordKind::Vm:
+        return "member";
+    case RecordKind::Settings:
+        return "settings";
+    }
+    return "";
+}
+
 } // namespace
 
 ServingTask::ServingTask(const ServingTaskSettings &settings)
@@ -114,6 +130,17 @@
     m_task.post([this, members = std::move(members)] { m_forwarder.changeMembers(members); });
 }
 
+void ServingTask::postUnusableRecords(RecordKind kind, std::size_t count)
+{
+    m_task.post([this, kind, count] {
+        m_metrics
+            .counter("pimentoward_records_unusable_total",
+                     "Records of the store that were read and cannot be used",
+                     {{"kind", labelOf(kind)}})
+            .add(count);
+    });
+}
+
 void ServingTask::postRecordsOutdated(bool areOutdated)
 {
     m_task.post([this, areOutdated] { m_forwarder.changeRecordsOutdated(areOutdated); });
--- a/src/Pimentoward/Process/ServingTask.h
+++ b/src/Pimentoward/Process/ServingTask.h
@@ -3,6 +3,7 @@
 #include "Pimentoward/Connection/CallerServer.h"
 #include "Pimentoward/Connection/HttpServer.h"
 #include "Pimentoward/Core/Address.h"
+#include "Pimentoward/Discovery/DiscoveredRecords.h"
 #include "Pimentoward/Process/Metrics.h"
 #include "Pimentoward/Process/Task.h"
 #include "Pimentoward/Request/Forwarder.h"
@@ -52,6 +53,8 @@
     /// Tells whether the records of backend servers may be outdated, as they are until this
     /// function is called.
     void postRecordsOutdated(bool areOutdated);
+    /// Counts records of the store that cannot be used.
+    void postUnusableRecords(RecordKind kind, std::size_t count);
     /// Sets who decides which requests of workspaces may run within their rate limits; see
     /// Forwarder::changeAdmission().
     void postAdmission(RequestAdmission *admission);
--- a/src/Pimentoward/Process/TierProcess.cpp
+++ b/src/Pimentoward/Process/TierProcess.cpp
@@ -28,7 +28,10 @@
           m_discoveryTask.loop(), m_clock, *m_store, std::move(codec), settings.discovery,
           {[this](RouteTablePtr routes) { m_serving.postRoutes(std::move(routes)); },
            [this](BackendListPtr list) { m_serving.postBackends(std::move(list)); },
-           [this](std::vector<MemberId> members) { m_serving.postMembers(std::move(members)); }},
+           [this](std::vector<MemberId> members) { m_serving.postMembers(std::move(members)); },
+           [this](RecordKind kind, std::size_t count) {
+               m_serving.postUnusableRecords(kind, count);
+           }},
           [this](bool areOutdated) { m_serving.postRecordsOutdated(areOutdated); })
     , m_drain(settings.drain)
     , m_onReload(std::move(onReload))
--- a/src/Pimentoward/Request/RequestReport.cpp
+++ b/src/Pimentoward/Request/RequestReport.cpp
@@ -1,6 +1,7 @@
 #include "Pimentoward/Request/RequestReport.h"
 
 #include "Pimentoward/Core/Log.h"
+#include "Pimentoward/Core/PlainText.h"
 
 namespace pimentoward {
 
@@ -29,9 +30,10 @@
     const int code = static_cast<int>(outcome.reason.code);
     LOG4CPLUS_INFO(requestLog(),
                    "event=answered request="
-                       << request.id << " route=" << request.route->name << " settings="
-                       << request.routes->revision() << " status=" << outcome.reply.status
-                       << " code=" << code << " ms=" << milliseconds(now - request.readAt)
+                       << logText(request.id) << " route=" << logText(request.route->name)
+                       << " settings=" << request.routes->revision()
+                       << " status=" << outcome.reply.status << " code=" << code
+                       << " ms=" << milliseconds(now - request.readAt)
                        << " left_ms=" << milliseconds(request.deadline - now)
                        << " parts=" << outcome.parts << " missing=" << outcome.missing
                        << " missing_services=" << outcome.missingServices
@@ -53,11 +55,10 @@
                                      const char *reason)
 {
     LOG4CPLUS_INFO(requestLog(),
-                   "event=backend-failing backend=" << backend.id << " service=" << backend.service
-                                                    << " address=" << backend.address.toString()
-                                                    << " domain=" << backend.failureDomain
-                                                    << " request=" << id << " reason=\"" << reason
-                                                    << '"');
+                   "event=backend-failing backend="
+                       << backend.id << " service=" << logText(backend.service) << " address="
+                       << backend.address.toString() << " domain=" << logText(backend.failureDomain)
+                       << " request=" << logText(id) << " reason=\"" << reason << '"');
     m_metrics
         .counter("pimentoward_backend_failures_begun_total",
                  "Times that a backend server began to fail")
@@ -67,14 +68,16 @@
 void RequestReport::onBackendHealthy(const BackendRecord &backend)
 {
     LOG4CPLUS_INFO(requestLog(),
-                   "event=backend-sound backend=" << backend.id << " service=" << backend.service
+                   "event=backend-sound backend=" << backend.id
+                                                  << " service=" << logText(backend.service)
                                                   << " address=" << backend.address.toString());
 }
 
 void RequestReport::onBackendLeaving(const BackendRecord &backend)
 {
     LOG4CPLUS_INFO(requestLog(),
-                   "event=backend-leaving backend=" << backend.id << " service=" << backend.service
+                   "event=backend-leaving backend=" << backend.id
+                                                    << " service=" << logText(backend.service)
                                                     << " address=" << backend.address.toString()
                                                     << " incarnation=" << backend.incarnation);
     m_metrics
@@ -86,7 +89,8 @@
 void RequestReport::onBackendPaused(const BackendRecord &backend, Duration pause)
 {
     LOG4CPLUS_INFO(requestLog(),
-                   "event=backend-paused backend=" << backend.id << " service=" << backend.service
+                   "event=backend-paused backend=" << backend.id
+                                                   << " service=" << logText(backend.service)
                                                    << " address=" << backend.address.toString()
                                                    << " ms=" << milliseconds(pause));
     m_metrics
@@ -98,7 +102,8 @@
 void RequestReport::onBackendCold(const BackendRecord &backend, Duration coldLeft)
 {
     LOG4CPLUS_INFO(requestLog(),
-                   "event=backend-cold backend=" << backend.id << " service=" << backend.service
+                   "event=backend-cold backend=" << backend.id
+                                                 << " service=" << logText(backend.service)
                                                  << " address=" << backend.address.toString()
                                                  << " ms=" << milliseconds(coldLeft));
     m_metrics
@@ -111,7 +116,7 @@
                               const char *reason)
 {
     LOG4CPLUS_INFO(requestLog(),
-                   "event=refused request=" << id << " status=" << status << " settings="
+                   "event=refused request=" << logText(id) << " status=" << status << " settings="
                                             << settings << " reason=\"" << reason << '"');
     m_metrics
         .counter("pimentoward_requests_refused_total", "Requests refused without being sent",
@@ -122,7 +127,8 @@
 void RequestReport::onCallerGone(const ActiveRequest &request, SteadyTime now)
 {
     LOG4CPLUS_INFO(requestLog(),
-                   "event=caller-gone request=" << request.id << " route=" << request.route->name
+                   "event=caller-gone request=" << logText(request.id)
+                                                << " route=" << logText(request.route->name)
                                                 << " ms=" << milliseconds(now - request.readAt));
     m_metrics.counter("pimentoward_callers_gone_total", "Callers that left before the answer")
         .add();
@@ -131,7 +137,8 @@
 void RequestReport::onCut(const ActiveRequest &request, SteadyTime now)
 {
     LOG4CPLUS_WARN(requestLog(),
-                   "event=cut request=" << request.id << " route=" << request.route->name
+                   "event=cut request=" << logText(request.id)
+                                        << " route=" << logText(request.route->name)
                                         << " ms=" << milliseconds(now - request.readAt));
 }
 
--- a/tests/platform/RecordReaderTest.cpp
+++ b/tests/platform/RecordReaderTest.cpp
@@ -93,3 +93,39 @@
         }
     }
 }
+
+TEST_CASE("A backend server's record whose ID or names cannot be written into a line is rejected")
+{
+    const auto odd = GENERATE(as<std::string> {}, "i-1\r\n", "i-1\nX-Tenant: a", "i 1", "",
+                              "i-1\x7f", "i-\xc3\xbc", "i-\xff", std::string("i\0", 2));
+    Reason reason;
+    CHECK_FALSE(platform::readBackend(odd, backendText, reason).has_value());
+    CHECK_FALSE(reason.text.empty());
+    for (const char *field : {R"("service":"s)", R"("zone":"a)"}) {
+        std::string text = backendText;
+        text.insert(text.find(field) + std::string(field).size(), R"(\r\n)");
+        CHECK_FALSE(platform::readBackend("i-1", text, reason).has_value());
+    }
+}
+
+TEST_CASE("An odd text in the settings leaves all other routes in force")
+{
+    const auto odd = GENERATE(as<std::string> {}, R"("\ud83d")", "\"\xff\"", "1e999",
+                              std::string(1000, '[') + std::string(1000, ']'));
+    const auto field = GENERATE(as<std::string> {}, R"("new":)", R"("name":)");
+    std::string text = routesText;
+    text.insert(text.find("{\"name\":\"w\"") + 1, field + odd + ",");
+    Reason reason;
+    const RouteTablePtr table = platform::readRoutes(text, reason);
+    REQUIRE(table != nullptr);
+    CHECK(table->find("h", "/a/x") != nullptr);
+    CHECK(table->find("h", "/b/x") != nullptr);
+}
+
+TEST_CASE("The reason for refusing settings repeats no control characters from them")
+{
+    Reason reason;
+    CHECK(platform::readRoutes(R"({"version":1,"routes":[{"name":"a\r\nlevel=ERROR"}]})", reason)
+          == nullptr);
+    CHECK(reason.text.find('\n') == std::string::npos);
+}
