RateGranter: decisions for a rate limit over all VMs

A workspace's limit held in each VM for itself, so the sum over 63 VMs broke QUOTA. RateParts divides a limit into up to three parts, each granted by the VM that rendezvous hashing chooses; RateGranter grants within the age of its view and takes over after waits that keep the sum; RateAsker asks for batches and refuses with a time of return. Not wired yet.

--- a/cmake/TierSources.cmake
+++ b/cmake/TierSources.cmake
@@ -68,6 +68,10 @@
   Request/RouteLatencies.cpp
   Request/SharedRetryBudget.cpp
   Request/WeightedRoundRobin.cpp
+  Sharing/RateAsker.cpp
+  Sharing/RateGranter.cpp
+  Sharing/RateParts.cpp
+  Sharing/TokenBucket.cpp
   Version/BackendDirectory.cpp
   Version/RouteTable.cpp
   Version/WorkspaceTable.cpp
