VmSharing: VMs ask each other for tokens of rate limits

The decisions had no transport. HttpVmExchange carries sections between VMs as bounded CBOR messages over HTTP, RateAdmission drives the decisions and counts them, VmSharing opens the listener with the first limited workspace, Discovery reports the VMs in the store and when that list was confirmed, and platform/ fills the port and what is tolerated above a limit.

--- a/cmake/TierSources.cmake
+++ b/cmake/TierSources.cmake
@@ -68,10 +68,15 @@
   Request/RouteLatencies.cpp
   Request/SharedRetryBudget.cpp
   Request/WeightedRoundRobin.cpp
+  Sharing/HttpVmExchange.cpp
+  Sharing/RateAdmission.cpp
   Sharing/RateAsker.cpp
   Sharing/RateGranter.cpp
+  Sharing/RateMessages.cpp
   Sharing/RateParts.cpp
+  Sharing/SharedMessages.cpp
   Sharing/TokenBucket.cpp
+  Sharing/VmSharing.cpp
   Version/BackendDirectory.cpp
   Version/RouteTable.cpp
   Version/WorkspaceTable.cpp
--- a/src/Pimentoward/Discovery/Discovery.cpp
+++ b/src/Pimentoward/Discovery/Discovery.cpp
@@ -24,7 +24,7 @@
     , m_store(store)
     , m_settings(settings)
     , m_records(std::move(codec), settings.feed.self, settings.records, std::move(hooks),
-                {[this](const FeedChooser::Member &member) { m_chooser.onMemberPresent(member); },
+                {[this](const FeedChooser::Member &member) { onMemberPresent(member); },
                  [this](const MemberId &member) { onMemberRemoved(member); }})
     , m_mirror(settings.mirror,
                {[this](const StoreItem &item) {
@@ -89,8 +89,27 @@
     m_registration.leave(std::move(done));
 }
 
+void Discovery::publishVms()
+{
+    const bool isConfirmed = m_upToDateAt > m_vmView.confirmedAt;
+    if (!m_onVms || !m_mirror.isComplete() || (!isConfirmed && !m_haveVmsChanged)) {
+        return;
+    }
+    if (std::exchange(m_haveVmsChanged, false)) {
+        std::vector<FeedChooser::Member> list;
+        for (const auto &[id, vm] : m_vms) {
+            list.push_back(vm);
+        }
+        m_vmView.vms = std::make_shared<const std::vector<FeedChooser::Member>>(std::move(list));
+    }
+    m_vmView.confirmedAt = m_upToDateAt;
+    m_onVms(m_vmView);
+}
+
 void Discovery::runNextStep()
 {
+    // The answer to the step before has been applied.
+    publishVms();
     std::visit([this](const auto &step) { execute(step); }, m_mirror.nextStep());
 }
 
@@ -287,8 +306,17 @@
     publish();
 }
 
+void Discovery::onMemberPresent(const FeedChooser::Member &member)
+{
+    m_chooser.onMemberPresent(member);
+    m_vms[member.id] = member;
+    m_haveVmsChanged = true;
+}
+
 void Discovery::onMemberRemoved(const MemberId &member)
 {
+    m_vms.erase(member);
+    m_haveVmsChanged = true;
     m_chooser.onMemberRemoved(member);
     if (member == m_settings.feed.self) {
         m_registration.onKeyRemoved();
--- a/src/Pimentoward/Discovery/Discovery.h
+++ b/src/Pimentoward/Discovery/Discovery.h
@@ -9,9 +9,11 @@
 #include "Pimentoward/Discovery/Registration.h"
 #include "Pimentoward/Discovery/StoreCopy.h"
 #include "Pimentoward/Discovery/StoreMirror.h"
+#include "Pimentoward/Discovery/VmView.h"
 #include "Pimentoward/Process/Timer.h"
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -46,6 +48,9 @@
     Discovery(event_base *loop, const Clock &clock, KeyValueStore &store, RecordCodec codec,
               const Settings &settings, DiscoveredRecords::Hooks hooks, OutdatedHook onOutdated);
 
+    /// Sets a hook that receives the VMs whose records are in the store, each time the list has
+    /// changed or is known to match the store still. Must be called before start().
+    void setVmsHook(std::function<void(const VmView &)> hook) { m_onVms = std::move(hook); }
     /// Binds the address for other VMs. Returns false, with InvalidSetting in `reason`, if that
     /// fails.
     bool listen(Reason &reason);
@@ -80,8 +85,11 @@
     void onOutage();
     void onCaughtUp(bool isList);
     void logSource(const FeedChooser::Choice &choice);
+    void onMemberPresent(const FeedChooser::Member &member);
     void onMemberRemoved(const MemberId &member);
     void publish();
+    /// Reports the VMs in the store, unless nothing new is known of them.
+    void publishVms();
 
     const Clock &m_clock;
     KeyValueStore &m_store;
@@ -108,6 +116,10 @@
     OutdatedHook m_onOutdated;
     Timer m_ageTimer;
     bool m_areRecordsOutdated = true;
+    std::function<void(const VmView &)> m_onVms;
+    std::map<MemberId, FeedChooser::Member> m_vms;
+    bool m_haveVmsChanged = true;
+    VmView m_vmView;
 };
 
 } // namespace pimentoward
--- a/src/Pimentoward/Process/ServingTask.cpp
+++ b/src/Pimentoward/Process/ServingTask.cpp
@@ -14,6 +14,7 @@
 
 ServingTask::ServingTask(const ServingTaskSettings &settings)
     : m_settings(settings)
+    , m_sharing(m_task.loop(), settings.sharing, settings.forwarder.fleet.self, m_metrics)
     , m_forwarder(m_task.loop(), settings.forwarder, m_metrics)
     , m_callers(m_task.loop(), callerHooks())
     , m_readyServer(m_task.loop(), {})
@@ -101,6 +102,9 @@
     m_task.post([this, routes = std::move(routes)] {
         m_callers.changeLimits(routes->limits());
         m_forwarder.changeRoutes(routes);
+        if (RequestAdmission *admission = m_sharing.changeWorkspaces(routes->workspaces())) {
+            m_forwarder.changeAdmission(admission);
+        }
     });
 }
 
@@ -114,6 +118,11 @@
     m_task.post([this, members = std::move(members)] { m_forwarder.changeMembers(members); });
 }
 
+void ServingTask::postVms(const VmView &view)
+{
+    m_task.post([this, view] { m_sharing.changeVms(view); });
+}
+
 void ServingTask::postRecordsOutdated(bool areOutdated)
 {
     m_task.post([this, areOutdated] { m_forwarder.changeRecordsOutdated(areOutdated); });
--- a/src/Pimentoward/Process/ServingTask.h
+++ b/src/Pimentoward/Process/ServingTask.h
@@ -6,6 +6,7 @@
 #include "Pimentoward/Process/Metrics.h"
 #include "Pimentoward/Process/Task.h"
 #include "Pimentoward/Request/Forwarder.h"
+#include "Pimentoward/Sharing/VmSharing.h"
 
 #include <functional>
 #include <optional>
@@ -25,6 +26,7 @@
     std::optional<Address> metricsListen;
     std::string metricsPath = "/metrics";
     ForwarderSettings forwarder;
+    VmSharingSettings sharing;
 };
 
 /// The task of a TierProcess that serves callers. It owns the connections of callers, the
@@ -49,6 +51,8 @@
     void postBackends(BackendListPtr backends);
     /// Replaces the list of the tier's VMs.
     void postMembers(std::vector<MemberId> members);
+    /// Replaces the list of the VMs whose records are in the store, or confirms it.
+    void postVms(const VmView &view);
     /// Tells whether the records of backend servers may be outdated, as they are until this
     /// function is called.
     void postRecordsOutdated(bool areOutdated);
@@ -80,6 +84,7 @@
     ServingTaskSettings m_settings;
     Task m_task {"serving"};
     Metrics m_metrics;
+    VmSharing m_sharing;
     Forwarder m_forwarder;
     CallerServer m_callers;
     HttpServer m_readyServer;
--- a/src/Pimentoward/Process/TierProcess.cpp
+++ b/src/Pimentoward/Process/TierProcess.cpp
@@ -39,6 +39,7 @@
 
 void TierProcess::serve()
 {
+    m_discovery.setVmsHook([this](const VmView &view) { m_serving.postVms(view); });
     m_serving.start();
     m_discoveryTask.post([this] { m_discovery.start(); });
     m_discoveryTask.start();
--- a/tests/Sharing/RateLimitTest.cpp
+++ b/tests/Sharing/RateLimitTest.cpp
@@ -296,7 +296,7 @@
     CHECK_FALSE(granter.onAsked({"unknown", 1}, later).isGranting);
 }
 
-TEST_CASE("QUOTA: a limit holds with 1,000 seeds", "[.search]")
+TEST_CASE("QUOTA: a limit holds with a thousand seeds", "[.search]")
 {
     checkTrouble(7, 1000);
     checkTrouble(63, 1000);
--- a/tests/platform/PlatformSettingsTest.cpp
+++ b/tests/platform/PlatformSettingsTest.cpp
@@ -54,6 +54,9 @@
     CHECK(settings->process.drain.limit < 6s);
     CHECK(settings->process.discovery.feed.self == "vm-1");
     CHECK(settings->process.discovery.feed.address.toString() == "10.1.0.9:7395");
+    CHECK(serving.sharing.listen->toString() == "10.1.0.9:7381");
+    CHECK(serving.sharing.rateTolerance.ratio == 0);
+    CHECK(serving.sharing.rateTolerance.allowance == 0);
 }
 
 TEST_CASE("Limits for cold backend servers are read, and only some changes need a restart")
@@ -73,6 +76,24 @@
     CHECK(platform::needsRestart(*before, *platform::readSettings(text, reason)));
 }
 
+TEST_CASE("What is tolerated above a rate limit is read, and VMs share only with a port between")
+{
+    Reason reason;
+    std::string text = settingsText;
+    text.replace(text.find("retrySlack = 54"), 15,
+                 "quotaWindowS = 7\nquotaOver = 0.1\nquotaSlack = 20");
+    const auto settings = platform::readSettings(text, reason);
+    REQUIRE(settings.has_value());
+    const RateTolerance &tolerance = settings->process.serving.sharing.rateTolerance;
+    CHECK(tolerance.window == 7s);
+    CHECK(tolerance.ratio == 0.1);
+    CHECK(tolerance.allowance == 20);
+    text.replace(text.find("[7380,7395]"), 11, "[7380,7381]");
+    const auto narrow = platform::readSettings(text, reason);
+    REQUIRE(narrow.has_value());
+    CHECK_FALSE(narrow->process.serving.sharing.listen.has_value());
+}
+
 TEST_CASE("An invalid settings file is rejected with a reason that names the field")
 {
     for (const char *line : {"nodeName = \"vm-1\"", "frontend = \"10.1.0.9:8104\"",
--- a/tests/support/TierFixture.cpp
+++ b/tests/support/TierFixture.cpp
@@ -72,6 +72,7 @@
     if (!m_serving->listen(reason) || !m_discovery.listen(reason)) {
         throw std::runtime_error(reason.text);
     }
+    m_discovery.setVmsHook([this](const VmView &view) { m_serving->postVms(view); });
     m_serving->start();
     m_discovery.start();
 }
