--- a/src/Pimentoward/Sharing/HttpVmExchange.cpp
+++ b/src/Pimentoward/Sharing/HttpVmExchange.cpp
@@ -36,8 +36,8 @@
     for (auto &[id, vm] : m_vms) {
         const auto found = vms.find(id);
         const auto known = m_addresses.find(id);
-        const bool isOther = found != vms.end()
-            && (known == m_addresses.end() || known->second != found->second);
+        const bool isOther
+            = found != vms.end() && (known == m_addresses.end() || known->second != found->second);
         if (isOther && vm.client != nullptr) {
             vm.client->changeAddress(found->second);
         }
@@ -69,17 +69,18 @@
     question->done = std::move(done);
     const auto address = m_addresses.find(to);
     const auto found = m_vms.find(to);
-    const bool isFull = found != m_vms.end() && found->second.waiting.size() >= m_settings.maxWaiting;
+    const bool isFull
+        = found != m_vms.end() && found->second.waiting.size() >= m_settings.maxWaiting;
     const bool canSend = address != m_addresses.end() && !isFull;
     std::list<QuestionPtr> &list = canSend ? m_vms[to].waiting : m_unsent;
     // The list may drop the question within the hook, which the timer belongs to.
-    question->timer = std::make_unique<Timer>(
-        m_loop, [this, weak = std::weak_ptr<Question>(question)] {
-            if (const QuestionPtr expired = weak.lock()) {
-                m_unsent.remove(expired);
-                finish(*expired, std::nullopt);
-            }
-        });
+    question->timer
+        = std::make_unique<Timer>(m_loop, [this, weak = std::weak_ptr<Question>(question)] {
+              if (const QuestionPtr expired = weak.lock()) {
+                  m_unsent.remove(expired);
+                  finish(*expired, std::nullopt);
+              }
+          });
     question->timer->startOnce(canSend ? timeout : Duration::zero());
     list.push_back(question);
     if (!canSend) {
--- a/src/Pimentoward/Sharing/RateAdmission.cpp
+++ b/src/Pimentoward/Sharing/RateAdmission.cpp
@@ -156,9 +156,8 @@
     if (!question) {
         return std::nullopt;
     }
-    return SharedSection {
-        SharedTopic::RateLimit,
-        encode(m_granter.onAsked(*question, std::chrono::steady_clock::now()))};
+    return SharedSection {SharedTopic::RateLimit,
+                          encode(m_granter.onAsked(*question, std::chrono::steady_clock::now()))};
 }
 
 } // namespace pimentoward
--- a/src/Pimentoward/Sharing/RateMessages.cpp
+++ b/src/Pimentoward/Sharing/RateMessages.cpp
@@ -46,10 +46,9 @@
 std::string encode(const RateAnswer &answer)
 {
     // Nothing but an empty list says that this VM does not grant the part.
-    return pack(answer.isGranting
-                    ? Json::array({answer.granted, microseconds(answer.nextToken),
-                                   microseconds(answer.retryAfter), answer.isReduced})
-                    : Json::array());
+    return pack(answer.isGranting ? Json::array({answer.granted, microseconds(answer.nextToken),
+                                                 microseconds(answer.retryAfter), answer.isReduced})
+                                  : Json::array());
 }
 
 std::optional<RateQuestion> decodeRateQuestion(const std::string &bytes)
--- a/tests/Sharing/HttpVmExchangeTest.cpp
+++ b/tests/Sharing/HttpVmExchangeTest.cpp
@@ -84,10 +84,10 @@
 // Load: the other VM is frozen, or something else answers at its address.
 TEST_CASE("A silent VM or one that answers nonsense costs no more than the time to wait")
 {
-    const std::string reply = GENERATE(
-        std::string(), std::string("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc"),
-        std::string("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n\x83\x02\x61\x62\x80"),
-        std::string("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"));
+    const std::string reply
+        = GENERATE(std::string(), std::string("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc"),
+                   std::string("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n\x83\x02\x61\x62\x80"),
+                   std::string("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"));
     const LoopPtr loop = newLoop();
     ScriptedServer server(loop.get(), [&reply](ScriptedServer::Peer &peer) {
         if (!reply.empty() && peer.received.find("\r\n\r\n") != std::string::npos) {
