--- a/src/Pimentoward/Process/ServingTask.cpp
+++ b/src/Pimentoward/Process/ServingTask.cpp
@@ -30,6 +30,7 @@
 
 ServingTask::ServingTask(const ServingTaskSettings &settings)
     : m_settings(settings)
+    , m_sharing(m_task.loop(), settings.sharing, settings.forwarder.fleet.self, m_metrics)
     , m_forwarder(m_task.loop(), settings.forwarder, m_metrics)
     , m_callers(m_task.loop(), callerHooks())
     , m_readyServer(m_task.loop(), {})
@@ -117,6 +118,9 @@
     m_task.post([this, routes = std::move(routes)] {
         m_callers.changeLimits(routes->limits());
         m_forwarder.changeRoutes(routes);
+        if (RequestAdmission *admission = m_sharing.changeWorkspaces(routes->workspaces())) {
+            m_forwarder.changeAdmission(admission);
+        }
     });
 }
 
@@ -141,6 +145,11 @@
     });
 }
 
+void ServingTask::postVms(const VmView &view)
+{
+    m_task.post([this, view] { m_sharing.changeVms(view); });
+}
+
 void ServingTask::postRecordsOutdated(bool areOutdated)
 {
     m_task.post([this, areOutdated] { m_forwarder.changeRecordsOutdated(areOutdated); });
