Rollout: evidence, plan, judge and traffic of roll-outs of software versions

An order under op/rollout moved nothing and backend servers of any version got requests at once. Now, where the settings' [bounds] name canaryShare, a version that is not the established one gets nothing before its order; a few VMs (3 to 16, by rendezvous hash) send it a share and report counts of both versions; every VM judges the pooled counts by the same sequential test, and writes the status on condition of its revision, later by its rank.

--- a/cmake/TierSources.cmake
+++ b/cmake/TierSources.cmake
@@ -30,7 +30,16 @@
   Connection/SocketOptions.cpp
   Connection/UriEscape.cpp
   Discovery/DiscoveredRecords.cpp
+  Discovery/DiscoveredRollouts.cpp
   Discovery/Discovery.cpp
+  Discovery/RolloutReportCodec.cpp
+  Discovery/RolloutWriter.cpp
+  Rollout/RolloutEvidence.cpp
+  Rollout/RolloutJudge.cpp
+  Rollout/RolloutPlan.cpp
+  Rollout/RolloutTraffic.cpp
+  Rollout/VersionBaseline.cpp
+  Request/ForwarderRollouts.cpp
   Process/Drain.cpp
   Process/Metrics.cpp
   Process/MetricsDistribution.cpp
--- a/src/Pimentoward/Core/Types.h
+++ b/src/Pimentoward/Core/Types.h
@@ -27,6 +27,8 @@
 using ShardName = std::string;
 /// Name under which callers query a set of shards.
 using ServiceName = std::string;
+/// Version of the software that a backend server runs.
+using SoftwareVersion = std::string;
 /// Name of one failure domain.
 using FailureDomain = std::string;
 /// Identifier of one caller request, unique across all VMs and restarts.
--- a/src/Pimentoward/Discovery/DiscoveredRecords.cpp
+++ b/src/Pimentoward/Discovery/DiscoveredRecords.cpp
@@ -33,10 +33,12 @@
     , m_hooks(std::move(hooks))
     , m_memberHooks(std::move(memberHooks))
     , m_directory(settings.directory)
+    , m_rollouts(m_codec.rollouts)
     , m_members(self, settings.members)
+    , m_publishedRollouts(m_rollouts.table())
 { }
 
-void DiscoveredRecords::onWritten(const StoreItem &item)
+void DiscoveredRecords::onWritten(const StoreItem &item, SteadyTime now)
 {
     if (item.key == m_codec.settingsKey) {
         // One answer of the store may hold several versions of the settings; only the newest is
@@ -50,6 +52,8 @@
         m_directory.setDomainOutOfService(*domain, true);
     } else if (const auto member = withoutPrefix(item.key, m_codec.memberPrefix)) {
         applyMember(*member, item);
+    } else {
+        m_rollouts.onWritten(item, now);
     }
 }
 
@@ -123,6 +127,8 @@
         LOG4CPLUS_INFO(recordsLog(), "event=member-gone member=" << *member);
         m_members.onMemberRemoved(*member, now);
         m_memberHooks.onMemberRemoved(*member);
+    } else {
+        m_rollouts.onRemoved(key);
     }
 }
 
@@ -145,6 +151,10 @@
         m_publishedMembers = members;
         m_hooks.onMembers(std::move(members));
     }
+    if (RolloutTablePtr table = m_rollouts.table(); table != m_publishedRollouts) {
+        m_publishedRollouts = table;
+        m_hooks.onRollouts(std::move(table));
+    }
 }
 
 std::optional<SteadyTime> DiscoveredRecords::nextChange() const
--- a/src/Pimentoward/Discovery/DiscoveredRecords.h
+++ b/src/Pimentoward/Discovery/DiscoveredRecords.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Pimentoward/Discovery/DiscoveredRollouts.h"
 #include "Pimentoward/Discovery/FeedChooser.h"
 #include "Pimentoward/Discovery/KeyValueStore.h"
 #include "Pimentoward/Discovery/LimitSharingMembers.h"
@@ -36,6 +37,7 @@
         std::function<void(RouteTablePtr)> onRoutes;
         std::function<void(BackendListPtr)> onBackends;
         std::function<void(std::vector<MemberId>)> onMembers;
+        std::function<void(RolloutTablePtr)> onRollouts;
     };
 
     /// Hooks that receive the record of each VM when it is written, and the VM's ID when its record
@@ -50,7 +52,7 @@
                       Hooks hooks, MemberHooks memberHooks);
 
     /// Applies a record that was written to the store.
-    void onWritten(const StoreItem &item);
+    void onWritten(const StoreItem &item, SteadyTime now);
     /// Applies the removal of a record from the store.
     void onRemoved(const std::string &key, SteadyTime now);
     /// Reports that the store was last seen failing at `time`.
@@ -75,12 +77,14 @@
     Hooks m_hooks;
     MemberHooks m_memberHooks;
     BackendDirectory m_directory;
+    DiscoveredRollouts m_rollouts;
     LimitSharingMembers m_members;
     /// The newest settings document, until publish() reads it.
     std::optional<StoreItem> m_pendingSettings;
     RouteTablePtr m_routes;
     BackendListPtr m_publishedBackends;
     std::vector<MemberId> m_publishedMembers;
+    RolloutTablePtr m_publishedRollouts;
 };
 
 } // namespace pimentoward
--- a/src/Pimentoward/Discovery/Discovery.cpp
+++ b/src/Pimentoward/Discovery/Discovery.cpp
@@ -23,13 +23,14 @@
     : m_clock(clock)
     , m_store(store)
     , m_settings(settings)
-    , m_records(std::move(codec), settings.feed.self, settings.records, std::move(hooks),
+    , m_records(std::move(codec), settings.feed.self, settings.records, observed(std::move(hooks)),
                 {[this](const FeedChooser::Member &member) { m_chooser.onMemberPresent(member); },
                  [this](const MemberId &member) { onMemberRemoved(member); }})
+    , m_rolloutWriter(loop, clock, store, m_records.codec().rollouts, settings.rollouts)
     , m_mirror(settings.mirror,
                {[this](const StoreItem &item) {
                     m_copy.onWritten(item);
-                    m_records.onWritten(item);
+                    m_records.onWritten(item, m_clock.now());
                 },
                 [this](const std::string &key, Revision revision) {
                     m_copy.onRemoved(key, revision);
@@ -46,6 +47,27 @@
     , m_ageTimer(loop, [this] { checkAge(); })
 { }
 
+DiscoveredRecords::Hooks Discovery::observed(DiscoveredRecords::Hooks hooks)
+{
+    DiscoveredRecords::Hooks result = hooks;
+    result.onBackends = [this, next = std::move(hooks.onBackends)](const BackendListPtr &list) {
+        m_rolloutWriter.changeBackends(list);
+        next(list);
+    };
+    result.onMembers
+        = [this, next = std::move(hooks.onMembers)](const std::vector<MemberId> &members) {
+              m_rolloutWriter.changeMembers(members);
+              next(members);
+          };
+    result.onRollouts = [this, next = std::move(hooks.onRollouts)](const RolloutTablePtr &table) {
+        m_rolloutWriter.changeRollouts(table);
+        if (next) {
+            next(table);
+        }
+    };
+    return result;
+}
+
 Registration::Settings Discovery::registrationSettings(const Settings &settings)
 {
     Registration::Settings registration = settings.registration;
--- a/src/Pimentoward/Discovery/Discovery.h
+++ b/src/Pimentoward/Discovery/Discovery.h
@@ -7,6 +7,7 @@
 #include "Pimentoward/Discovery/FeedServer.h"
 #include "Pimentoward/Discovery/KeyValueStore.h"
 #include "Pimentoward/Discovery/Registration.h"
+#include "Pimentoward/Discovery/RolloutWriter.h"
 #include "Pimentoward/Discovery/StoreCopy.h"
 #include "Pimentoward/Discovery/StoreMirror.h"
 #include "Pimentoward/Process/Timer.h"
@@ -38,6 +39,7 @@
         Duration outdatedMargin = std::chrono::milliseconds(300);
         Registration::Settings registration;
         DiscoveredRecords::Settings records;
+        RolloutWriter::Settings rollouts;
     };
 
     /// Receives whether the records may be outdated, each time that changes.
@@ -54,8 +56,12 @@
     /// Removes this VM's record from the store, so that the VM leaves the list of VMs that share
     /// limits. `done` runs as for Registration::leave().
     void leave(std::function<void()> done);
+    /// Writes this VM's reports on roll-outs to the store.
+    void write(const std::vector<RolloutReport> &reports) { m_rolloutWriter.write(reports); }
 
 private:
+    /// Hooks that inform the writer of roll-outs and then run `hooks`.
+    DiscoveredRecords::Hooks observed(DiscoveredRecords::Hooks hooks);
     static Registration::Settings registrationSettings(const Settings &settings);
     /// Lists only the VMs of the tier in the store, at the same time as the full listing starts.
     /// VMs that start together learn of each other early this way, and only a few of them read the
@@ -87,6 +93,7 @@
     KeyValueStore &m_store;
     Settings m_settings;
     DiscoveredRecords m_records;
+    RolloutWriter m_rolloutWriter;
     StoreMirror m_mirror;
     Registration m_registration;
     StoreCopy m_copy;
--- a/src/Pimentoward/Process/ServingTask.cpp
+++ b/src/Pimentoward/Process/ServingTask.cpp
@@ -8,6 +8,8 @@
 
 /// Length of the window over which distributions are computed.
 constexpr std::chrono::seconds metricsWindow {60};
+/// Interval at which changed reports on roll-outs are handed on.
+constexpr std::chrono::milliseconds rolloutReportPeriod {700};
 constexpr int statusUnavailable = 503;
 
 } // namespace
@@ -19,6 +21,7 @@
     , m_readyServer(m_task.loop(), {})
     , m_metricsServer(m_task.loop(), {})
     , m_metricsTimer(m_task.loop(), [this] { m_metrics.rotate(); })
+    , m_rolloutTimer(m_task.loop(), [this] { reportRollouts(); })
 {
     m_readyServer.route("GET", m_settings.readyPath,
                         [this](const HttpRequest &, const HttpServer::Responder &respond) {
@@ -124,6 +127,26 @@
     m_task.post([this, admission] { m_forwarder.changeAdmission(admission); });
 }
 
+void ServingTask::postRollouts(RolloutTablePtr rollouts)
+{
+    m_task.post([this, rollouts = std::move(rollouts)] { m_forwarder.changeRollouts(rollouts); });
+}
+
+void ServingTask::setRolloutReportHook(std::function<void(std::vector<RolloutReport>)> hook)
+{
+    m_onRolloutReports = std::move(hook);
+    if (m_settings.forwarder.rollouts.plan.maxShare > 0) {
+        m_rolloutTimer.startRepeating(rolloutReportPeriod);
+    }
+}
+
+void ServingTask::reportRollouts()
+{
+    if (auto reports = m_forwarder.takeRolloutReports(); !reports.empty()) {
+        m_onRolloutReports(std::move(reports));
+    }
+}
+
 void ServingTask::postSharedLimits(const SharedRetryBudget::Settings &retries,
                                    const ColdLimit::Settings &cold)
 {
--- a/src/Pimentoward/Process/ServingTask.h
+++ b/src/Pimentoward/Process/ServingTask.h
@@ -55,6 +55,11 @@
     /// Sets who decides which requests of workspaces may run within their rate limits; see
     /// Forwarder::changeAdmission().
     void postAdmission(RequestAdmission *admission);
+    /// Replaces the roll-outs.
+    void postRollouts(RolloutTablePtr rollouts);
+    /// Sets the hook that receives this VM's reports on roll-outs, on this task. Must be called
+    /// before start().
+    void setRolloutReportHook(std::function<void(std::vector<RolloutReport>)> hook);
     /// Runs `hook` on this task.
     void postCall(std::function<void()> hook) { m_task.post(std::move(hook)); }
     /// Changes the limits that all VMs share: the retry budget and the limit of cold backend
@@ -73,6 +78,7 @@
     void postRunningCount(std::function<void(std::size_t)> hook);
 
 private:
+    void reportRollouts();
     HttpAnswer readyAnswer() const;
     void addGauges();
     CallerConnection::Hooks callerHooks();
@@ -85,6 +91,8 @@
     HttpServer m_readyServer;
     HttpServer m_metricsServer;
     Timer m_metricsTimer;
+    Timer m_rolloutTimer;
+    std::function<void(std::vector<RolloutReport>)> m_onRolloutReports;
     bool m_isStopping = false;
 };
 
--- a/src/Pimentoward/Process/TierProcess.cpp
+++ b/src/Pimentoward/Process/TierProcess.cpp
@@ -28,14 +28,19 @@
           m_discoveryTask.loop(), m_clock, *m_store, std::move(codec), settings.discovery,
           {[this](RouteTablePtr routes) { m_serving.postRoutes(std::move(routes)); },
            [this](BackendListPtr list) { m_serving.postBackends(std::move(list)); },
-           [this](std::vector<MemberId> members) { m_serving.postMembers(std::move(members)); }},
+           [this](std::vector<MemberId> members) { m_serving.postMembers(std::move(members)); },
+           [this](RolloutTablePtr table) { m_serving.postRollouts(std::move(table)); }},
           [this](bool areOutdated) { m_serving.postRecordsOutdated(areOutdated); })
     , m_drain(settings.drain)
     , m_onReload(std::move(onReload))
     , m_drainTimer(m_main.loop(), [this] { onDrainTimer(); })
     , m_reloadTimer(m_main.loop(), [this] { m_onReload(*this, false); })
     , m_signals(m_main.loop(), {SIGINT, SIGTERM, SIGHUP}, [this](int signal) { onSignal(signal); })
-{ }
+{
+    m_serving.setRolloutReportHook([this](std::vector<RolloutReport> reports) {
+        m_discoveryTask.post([this, reports = std::move(reports)] { m_discovery.write(reports); });
+    });
+}
 
 void TierProcess::serve()
 {
--- a/src/Pimentoward/Request/BackendSelector.cpp
+++ b/src/Pimentoward/Request/BackendSelector.cpp
@@ -11,9 +11,10 @@
 
 } // namespace
 
-BackendSelector::BackendSelector(const BackendFleet &fleet, const Settings &settings,
-                                 RetryHook retryLater)
+BackendSelector::BackendSelector(const BackendFleet &fleet, const RolloutTraffic &rollouts,
+                                 const Settings &settings, RetryHook retryLater)
     : m_fleet(fleet)
+    , m_rollouts(rollouts)
     , m_settings(settings)
     , m_retryLater(std::move(retryLater))
     , m_chooser(settings.chooser)
@@ -30,11 +31,29 @@
 Gather::Choice BackendSelector::choose(const ServiceName &service,
                                        const std::vector<BackendServerId> &avoid,
                                        SendPurpose purpose, SteadyTime now)
+{
+    const bool isRepeatable = purpose != SendPurpose::FirstUnrepeatable;
+    const bool isFirst = purpose == SendPurpose::First || !isRepeatable;
+    const RolloutTraffic::Choice versions = m_rollouts.choose(service, isFirst, isRepeatable, now);
+    if (versions.preferred) {
+        Gather::Choice choice = chooseAmong(service, versions.preferred, avoid, purpose, now);
+        if (!choice.backend.empty()) {
+            return choice;
+        }
+    }
+    return chooseAmong(service, versions.otherwise, avoid, purpose, now);
+}
+
+Gather::Choice BackendSelector::chooseAmong(const ServiceName &service,
+                                            const std::optional<SoftwareVersion> &version,
+                                            const std::vector<BackendServerId> &avoid,
+                                            SendPurpose purpose, SteadyTime now)
 {
     std::vector<BackendChooser::Candidate> candidates;
     std::optional<SteadyTime> pausedUntil;
     for (const BackendLink *link : m_fleet.linksOf(service)) {
-        if (isExcluded(*link, avoid)) {
+        const bool hasVersion = !version || link->record().version == *version;
+        if (!hasVersion || isExcluded(*link, avoid)) {
             continue;
         }
         const SteadyTime pauseEnd = link->notice().pausedUntil;
--- a/src/Pimentoward/Request/BackendSelector.h
+++ b/src/Pimentoward/Request/BackendSelector.h
@@ -2,6 +2,7 @@
 
 #include "Pimentoward/Connection/BackendFleet.h"
 #include "Pimentoward/Request/BackendChooser.h"
+#include "Pimentoward/Rollout/RolloutTraffic.h"
 
 #include <functional>
 #include <vector>
@@ -27,18 +28,25 @@
     /// although no event announces that.
     using RetryHook = std::function<void(const ServiceName &service, SteadyTime time)>;
 
-    /// `fleet` must outlive this object.
-    BackendSelector(const BackendFleet &fleet, const Settings &settings, RetryHook retryLater);
+    /// `fleet` and `rollouts` must outlive this object.
+    BackendSelector(const BackendFleet &fleet, const RolloutTraffic &rollouts,
+                    const Settings &settings, RetryHook retryLater);
 
     /// Chooses a backend server of `service` that is not in `avoid`.
     Gather::Choice choose(const ServiceName &service, const std::vector<BackendServerId> &avoid,
                           SendPurpose purpose, SteadyTime now);
 
 private:
+    /// Chooses among the backend servers with `version`; among all if there is none.
+    Gather::Choice chooseAmong(const ServiceName &service,
+                               const std::optional<SoftwareVersion> &version,
+                               const std::vector<BackendServerId> &avoid, SendPurpose purpose,
+                               SteadyTime now);
     /// True if this backend server will get no attempt, however long the request waits.
     bool isExcluded(const BackendLink &link, const std::vector<BackendServerId> &avoid) const;
 
     const BackendFleet &m_fleet;
+    const RolloutTraffic &m_rollouts;
     Settings m_settings;
     RetryHook m_retryLater;
     BackendChooser m_chooser;
--- a/src/Pimentoward/Request/Forwarder.cpp
+++ b/src/Pimentoward/Request/Forwarder.cpp
@@ -34,8 +34,9 @@
     , m_fleet(loop, settings.fleet, [this](BackendLink &link) { onFreeCapacity(link); })
     , m_healthChecker(loop, healthCheckerSettings(settings),
                       [this](BackendLink &link, Duration left) { onBackendCold(link, left); })
+    , m_rolloutTraffic(settings.rollouts)
     , m_selector(
-          m_fleet, selectorSettings(settings),
+          m_fleet, m_rolloutTraffic, selectorSettings(settings),
           [this](const ServiceName &service, SteadyTime time) { scheduleRetry(service, time); })
     , m_planner(settings.plans)
     , m_environment {[this](const ServiceName &service, const std::vector<BackendServerId> &avoid,
@@ -111,6 +112,7 @@
         return;
     }
     m_fleet.update(m_backends, m_routes, m_members);
+    m_rolloutTraffic.update(m_backends, m_rollouts, m_members, std::chrono::steady_clock::now());
     for (const auto &[service, records] : m_backends->byService) {
         m_servicesWithCapacity.insert(service);
     }
--- a/src/Pimentoward/Request/Forwarder.h
+++ b/src/Pimentoward/Request/Forwarder.h
@@ -66,6 +66,7 @@
     Duration lateReplyTime = std::chrono::milliseconds(400);
     /// How long an exchange may continue after the caller has closed its connection.
     Duration callerGoneTime = std::chrono::milliseconds(250);
+    RolloutTraffic::Settings rollouts;
     ForwarderChecks checks;
 };
 
@@ -99,6 +100,11 @@
     /// outlive this object. Without it the limits are not enforced.
     void changeAdmission(RequestAdmission *admission) { m_admission = admission; }
 
+    /// Applies changed roll-outs.
+    void changeRollouts(RolloutTablePtr rollouts);
+    /// This VM's reports on roll-outs that have changed since they were last taken.
+    std::vector<RolloutReport> takeRolloutReports() { return m_rolloutTraffic.takeReports(); }
+
     /// Sets the time by which this VM answers all requests because it stops. Running requests end
     /// then, and new ones that cannot be answered by then are refused.
     void changeLastAnswerTime(SteadyTime time);
@@ -173,6 +179,8 @@
     void onBackendCold(BackendLink &link, Duration coldLeft);
     void recordFailure(const Exchange &exchange, const char *reason, SteadyTime now);
     void recordReply(const Exchange &exchange, const ClassifiedReply &reply, SteadyTime now);
+    /// Counts how an attempt has ended for the roll-out of its service, if there is one.
+    void countForRollout(const Exchange &exchange, ReplyKind kind, SteadyTime now);
     void finish(ActiveRequest &request, GatherOutcome outcome);
     /// Separates the running exchanges of an ended request from it. They may continue for
     /// `keepFor`.
@@ -197,6 +205,8 @@
     std::vector<MemberId> m_members;
     BackendFleet m_fleet;
     HealthChecker m_healthChecker;
+    RolloutTablePtr m_rollouts = std::make_shared<const RolloutTable>();
+    RolloutTraffic m_rolloutTraffic;
     BackendSelector m_selector;
     RequestPlanner m_planner;
     Gather::Environment m_environment;
--- a/src/Pimentoward/Request/ForwarderExchanges.cpp
+++ b/src/Pimentoward/Request/ForwarderExchanges.cpp
@@ -56,6 +56,7 @@
               onExchangeEnded(position, outcome, std::move(reply));
           });
     m_healthChecker.onUsed(*link, now);
+    m_rolloutTraffic.onSent(link->record().service, link->record().version);
 }
 
 void Forwarder::onExchangeEnded(Exchanges::iterator position, ExchangeOutcome outcome,
@@ -91,6 +92,7 @@
 void Forwarder::recordReply(const Exchange &exchange, const ClassifiedReply &reply, SteadyTime now)
 {
     const Duration time = now - exchange.sentAt;
+    countForRollout(exchange, reply.kind, now);
     BackendHealth &health = exchange.link->health();
     if (reply.kind == ReplyKind::Success) {
         if (health.onReplied(exchange.healthNumber, now, ratioOf(time, exchange.medianTime))) {
@@ -143,6 +145,7 @@
             continue;
         }
         recordFailure(*exchange, "no reply in time", now);
+        countForRollout(*exchange, ReplyKind::Unknown, now);
         m_planner.onReply(*exchange->route, now - exchange->sentAt);
         exchange->link->cancel(exchange->connection);
         m_exchanges.erase(exchange);
--- a/src/Pimentoward/Request/Gather.cpp
+++ b/src/Pimentoward/Request/Gather.cpp
@@ -58,13 +58,14 @@
 void Gather::sendFirst(std::size_t index, SteadyTime now, GatherActions &actions)
 {
     Part &part = m_parts[index];
-    const Choice choice
-        = m_environment.choose(m_plan.parts[index], part.tried, SendPurpose::First, now);
+    const SendPurpose purpose
+        = m_plan.isIdempotent ? SendPurpose::First : SendPurpose::FirstUnrepeatable;
+    const Choice choice = m_environment.choose(m_plan.parts[index], part.tried, purpose, now);
     if (choice.backend.empty()) {
         waitOrGiveUp(part, choice, now);
         return;
     }
-    send(index, choice.backend, SendPurpose::First, now, actions);
+    send(index, choice.backend, purpose, now, actions);
 }
 
 void Gather::waitOrGiveUp(Part &part, const Choice &choice, SteadyTime now)
--- a/src/Pimentoward/Request/GatherTypes.h
+++ b/src/Pimentoward/Request/GatherTypes.h
@@ -20,6 +20,8 @@
 enum class SendPurpose {
     /// The first attempt of a part.
     First,
+    /// The first attempt of a request that may not be repeated.
+    FirstUnrepeatable,
     /// An attempt in addition to one that is overdue.
     Hedge,
     /// An attempt after one that failed.
--- a/src/Pimentoward/Request/RequestReport.cpp
+++ b/src/Pimentoward/Request/RequestReport.cpp
@@ -135,4 +135,21 @@
                                         << " ms=" << milliseconds(now - request.readAt));
 }
 
+void RequestReport::onRolloutReply(const BackendRecord &backend, bool isFailure, bool isSlow)
+{
+    const char *result = isFailure ? "failure" : (isSlow ? "slow" : "good");
+    m_metrics
+        .counter("pimentoward_rollout_replies_total",
+                 "Replies of backend servers whose service is under roll-out",
+                 {{"service", backend.service}, {"version", backend.version}, {"result", result}})
+        .add();
+}
+
+void RequestReport::onVersionBad(const BackendRecord &backend)
+{
+    LOG4CPLUS_WARN(requestLog(),
+                   "event=rollout-bad service=" << backend.service << " backend=" << backend.id
+                                                << " version=" << backend.version);
+}
+
 } // namespace pimentoward
--- a/src/Pimentoward/Request/RequestReport.h
+++ b/src/Pimentoward/Request/RequestReport.h
@@ -32,6 +32,10 @@
     void onBackendPaused(const BackendRecord &backend, Duration pause);
     /// Reports that a backend server has stated in a health reply that it is cold.
     void onBackendCold(const BackendRecord &backend, Duration coldLeft);
+    /// Counts a reply of a backend server whose service is under roll-out, by version.
+    void onRolloutReply(const BackendRecord &backend, bool isFailure, bool isSlow);
+    /// Reports that the version under roll-out of the backend server's service has shown to be bad.
+    void onVersionBad(const BackendRecord &backend);
 
 private:
     Metrics &m_metrics;
--- a/src/Pimentoward/Version/BackendRecord.h
+++ b/src/Pimentoward/Version/BackendRecord.h
@@ -18,6 +18,8 @@
     bool isLeaving = false;
     /// Remaining duration of its cold start, as of this record.
     Duration coldLeft {};
+    /// Version of its software; empty if it states none.
+    SoftwareVersion version;
     /// Wall-clock time of its start. A change means that it has restarted and lost its state.
     Incarnation incarnation = 0;
 };
--- a/standins/Site.cpp
+++ b/standins/Site.cpp
@@ -70,7 +70,7 @@
 }
 
 ShardServer *Site::addServer(const std::string &service, const std::string &id,
-                             const std::string &domain, Reason &reason)
+                             const std::string &domain, Reason &reason, const std::string &version)
 {
     ShardServer::Settings settings;
     settings.id = id;
@@ -82,20 +82,21 @@
     if (!server->listen(reason)) {
         return nullptr;
     }
-    registerServer(*server, domain, "ready");
+    registerServer(*server, domain, "ready", std::chrono::milliseconds(0), version);
     m_servers.push_back(std::move(server));
     return m_servers.back().get();
 }
 
 void Site::registerServer(const ShardServer &server, const std::string &domain,
-                          const std::string &state, std::chrono::milliseconds coldLeft)
+                          const std::string &state, std::chrono::milliseconds coldLeft,
+                          const std::string &version)
 {
     const Address address
         = m_settings.publishedAddress ? m_settings.publishedAddress(server) : server.address();
     const Json record = {{"service", server.settings().service},
                          {"address", address.toString()},
                          {"zone", domain},
-                         {"version", "v1"},
+                         {"version", version},
                          {"maxConcurrency", server.settings().slots},
                          {"state", state},
                          {"coldLeftMs", coldLeft.count()},
--- a/standins/Site.h
+++ b/standins/Site.h
@@ -53,12 +53,14 @@
     std::vector<ShardServer *> allServers();
     /// Starts another backend server and registers it. Returns null if its address cannot be bound.
     ShardServer *addServer(const std::string &service, const std::string &id,
-                           const std::string &domain, Reason &reason);
+                           const std::string &domain, Reason &reason,
+                           const std::string &version = "v1");
     /// Writes the record of a backend server to the store, with the remaining time of its cold
     /// start.
     void registerServer(const ShardServer &server, const std::string &domain,
                         const std::string &state,
-                        std::chrono::milliseconds coldLeft = std::chrono::milliseconds(0));
+                        std::chrono::milliseconds coldLeft = std::chrono::milliseconds(0),
+                        const std::string &version = "v1");
     /// Writes the settings document with the next version; `change` may modify it first.
     void writeSettings(const std::function<void(nlohmann::json &)> &change = nullptr);
 
--- a/tests/support/TierFixture.cpp
+++ b/tests/support/TierFixture.cpp
@@ -65,7 +65,8 @@
                    [this](const std::vector<MemberId> &members) {
                        m_members = members.size();
                        m_serving->postMembers(members);
-                   }},
+                   },
+                   [this](const RolloutTablePtr &table) { m_serving->postRollouts(table); }},
                   [this](bool areOutdated) { m_serving->postRecordsOutdated(areOutdated); })
 {
     Reason reason;
--- a/tests/support/TierProcessFixture.cpp
+++ b/tests/support/TierProcessFixture.cpp
@@ -56,10 +56,24 @@
                         << "\n[listen]\nfrontend = " << quoted(m_callerAddress.toString())
                         << "\nready = " << quoted(unusedAddress().toString())
                         << "\ncontrol = " << quoted(unusedAddress().toString())
-                        << "\n[bounds]\ngraceS = " << settings.grace.count()
-                        << "\n[platform]\naddress = " << quoted(store.toString()) << "\n";
+                        << "\n[bounds]\ngraceS = " << settings.grace.count() << '\n'
+                        << settings.bounds << "\n[platform]\naddress = " << quoted(store.toString())
+                        << "\n";
+    start();
+}
+
+void TierProcessFixture::start()
+{
     m_processes.start(processName,
-                      {std::string(PIMENTOWARD_PROGRAMS) + "/pimento-tier", "--settings", path});
+                      {std::string(PIMENTOWARD_PROGRAMS) + "/pimento-tier", "--settings",
+                       m_folder + "/settings.toml"});
+}
+
+void TierProcessFixture::restart()
+{
+    m_processes.signal(processName, SIGKILL);
+    m_processes.wait(processName, processLimit);
+    start();
 }
 
 TierProcessFixture::~TierProcessFixture()
--- a/tests/support/TierProcessFixture.h
+++ b/tests/support/TierProcessFixture.h
@@ -22,6 +22,8 @@
         pimentoward::standins::Site::Settings site;
         /// Time between the stop signal and the moment at which the platform kills the process.
         std::chrono::seconds grace {4};
+        /// Further lines for the section "bounds" of the settings file.
+        std::string bounds;
     };
 
     explicit TierProcessFixture(const Settings &settings);
@@ -35,6 +37,8 @@
     /// Runs the loop until the process serves requests. Returns false if that takes longer than
     /// 10 s.
     bool waitUntilServing();
+    /// Kills the process and starts it again with the same settings.
+    void restart();
     void signal(int number) { m_processes.signal(processName, number); }
     bool isRunning() const { return m_processes.isRunning(processName); }
     /// What the process has logged so far.
@@ -53,6 +57,8 @@
 private:
     static constexpr const char *processName = "tier";
 
+    void start();
+
     std::string m_folder;
     event_base *m_loop;
     std::unique_ptr<pimentoward::standins::Site> m_site;
