--- a/standins/ProcessGroup.cpp
+++ b/standins/ProcessGroup.cpp
@@ -162,6 +162,27 @@
     return resident * static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE));
 }
 
+std::uint64_t ProcessGroup::peakResidentBytes(const std::string &name) const
+{
+    constexpr std::uint64_t bytesPerKilobyte = 1024;
+    const std::string peakField = "VmHWM:";
+    std::ifstream file("/proc/" + std::to_string(pidOf(name)) + "/status");
+    for (std::string field; file >> field;) {
+        if (std::uint64_t kilobytes = 0; field == peakField && file >> kilobytes) {
+            return kilobytes * bytesPerKilobyte;
+        }
+    }
+    return 0;
+}
+
+std::size_t ProcessGroup::openDescriptors(const std::string &name) const
+{
+    std::error_code error;
+    const std::filesystem::directory_iterator folder("/proc/" + std::to_string(pidOf(name)) + "/fd",
+                                                     error);
+    return static_cast<std::size_t>(std::distance(begin(folder), end(folder)));
+}
+
 pid_t ProcessGroup::pidOf(const std::string &name) const
 {
     const auto found = std::find_if(m_processes.begin(), m_processes.end(),
--- a/standins/ProcessGroup.h
+++ b/standins/ProcessGroup.h
@@ -44,6 +44,11 @@
     Duration cpuTime(const std::string &name) const;
     /// Resident memory of one process, in bytes.
     std::uint64_t residentBytes(const std::string &name) const;
+    /// The most resident memory that one process has had so far, in bytes; 0 if there is no process
+    /// of this name.
+    std::uint64_t peakResidentBytes(const std::string &name) const;
+    /// Number of descriptors that one process holds; 0 if there is no process of this name.
+    std::size_t openDescriptors(const std::string &name) const;
 
 private:
     struct Process
--- a/tests/support/TierProcessFixture.cpp
+++ b/tests/support/TierProcessFixture.cpp
@@ -51,13 +51,19 @@
     }
     const std::string path = m_folder + "/settings.toml";
     const Address store {"127.0.0.1", m_site->store().port()};
-    std::ofstream(path) << "nodeName = \"vm-0\"\nip = " << quoted(m_callerAddress.host)
-                        << "\nzone = " << quoted(Site::domainName(0))
-                        << "\n[listen]\nfrontend = " << quoted(m_callerAddress.toString())
-                        << "\nready = " << quoted(unusedAddress().toString())
-                        << "\ncontrol = " << quoted(unusedAddress().toString())
-                        << "\n[bounds]\ngraceS = " << settings.grace.count()
-                        << "\n[platform]\naddress = " << quoted(store.toString()) << "\n";
+    std::ofstream file(path);
+    file << "nodeName = \"vm-0\"\nip = " << quoted(m_callerAddress.host)
+         << "\nzone = " << quoted(Site::domainName(0))
+         << "\n[listen]\nfrontend = " << quoted(m_callerAddress.toString())
+         << "\nready = " << quoted(unusedAddress().toString())
+         << "\ncontrol = " << quoted(unusedAddress().toString())
+         << "\n[bounds]\ngraceS = " << settings.grace.count()
+         << "\n[platform]\naddress = " << quoted(store.toString()) << "\n";
+    if (settings.memoryMb != 0 || settings.descriptors != 0) {
+        file << "[limits]\nmemoryMb = " << settings.memoryMb
+             << "\nmaxFds = " << settings.descriptors << "\n";
+    }
+    file.close();
     m_processes.start(processName,
                       {std::string(PIMENTOWARD_PROGRAMS) + "/pimento-tier", "--settings", path});
 }
--- a/tests/support/TierProcessFixture.h
+++ b/tests/support/TierProcessFixture.h
@@ -22,6 +22,9 @@
         pimentoward::standins::Site::Settings site;
         /// Time between the stop signal and the moment at which the platform kills the process.
         std::chrono::seconds grace {4};
+        /// The VM's limits of memory and of open descriptors; 0 if its settings state none.
+        std::size_t memoryMb = 0;
+        std::size_t descriptors = 0;
     };
 
     explicit TierProcessFixture(const Settings &settings);
@@ -37,6 +40,9 @@
     bool waitUntilServing();
     void signal(int number) { m_processes.signal(processName, number); }
     bool isRunning() const { return m_processes.isRunning(processName); }
+    /// The most resident memory that the process has had so far, in bytes.
+    std::uint64_t peakResidentBytes() const { return m_processes.peakResidentBytes(processName); }
+    std::size_t openDescriptors() const { return m_processes.openDescriptors(processName); }
     /// What the process has logged so far.
     std::string logText() const;
 
