CallerBudget: one budget for all that callers hold

Callers' heads, bodies, running requests and unread replies were bounded one by one, not together, and nothing bounded the connections. CallerBudget (a decision without I/O) takes what each connection holds and names who gives way; CallerServer asks it where bytes arrive and where they leave. Memory is a quarter of limits.memoryMb, descriptors follow from limits.maxFds; without these fields all is as before. Stopped and slow requests go first, then the newest, with 503 and Retry-After before they are passed on; a request that was passed on never gives way before its reply. Also mended: a refused request's memory stayed until the caller closed, pipelined requests went on while replies were not read, and sockets of closed connections stayed open until the loop ran again.

Not judged: memory under sanitizers.

--- a/cmake/TierSources.cmake
+++ b/cmake/TierSources.cmake
@@ -14,6 +14,7 @@
   Connection/BackendHealth.cpp
   Connection/BackendLink.cpp
   Connection/BackendNotices.cpp
+  Connection/CallerBudget.cpp
   Connection/CallerConnection.cpp
   Connection/CallerServer.cpp
   Connection/ColdLimit.cpp
--- a/src/Pimentoward/Connection/CallerConnection.cpp
+++ b/src/Pimentoward/Connection/CallerConnection.cpp
@@ -15,8 +15,16 @@
 constexpr int requestTimeoutStatus = 408;
 constexpr int contentTooLarge = 413;
 constexpr int headersTooLarge = 431;
+constexpr int statusUnavailable = 503;
 /// Maximum bytes of further requests that are buffered while one is being served.
 constexpr std::size_t readAheadBytes = 65'536;
+/// While more bytes than this of a reply are not written yet, no further request is read.
+constexpr std::size_t maxUnwrittenBytes = 65'536;
+/// Copies of a body while its request runs: the request's own, and the one on its way to a backend
+/// server.
+constexpr std::size_t runningCopies = 2;
+/// Seconds after which a request that gave way to others may be sent again.
+constexpr const char *giveWayRetryAfter = "1";
 /// How long a caller may take to close its side after it has read the last reply of a connection.
 constexpr std::chrono::seconds lingerTimeout {5};
 /// A caller that reads no byte of a reply for this time is disconnected.
@@ -30,9 +38,10 @@
 
 } // namespace
 
-CallerConnection::CallerConnection(event_base *loop, int socket, const CallerLimits &limits,
-                                   const Hooks &hooks)
-    : m_limits(limits)
+CallerConnection::CallerConnection(event_base *loop, int socket, CallerBudget::ConnectionId id,
+                                   const CallerLimits &limits, const Hooks &hooks)
+    : m_id(id)
+    , m_limits(limits)
     , m_hooks(hooks)
     , m_reader(HttpReader::Direction::Requests, readerLimits(limits))
     , m_timer(loop, [this] { onTimeout(); })
@@ -55,6 +64,11 @@
 
 CallerConnection::~CallerConnection()
 {
+    // bufferevent_free() closes the socket only when the loop runs again; until then, a crowd of
+    // new connections could use up the descriptors.
+    const evutil_socket_t socket = bufferevent_getfd(m_stream);
+    bufferevent_setfd(m_stream, -1);
+    evutil_closesocket(socket);
     bufferevent_free(m_stream);
 }
 
@@ -70,7 +84,7 @@
         evbuffer_drain(input, evbuffer_get_length(input));
         return;
     }
-    if (!m_isServing) {
+    if (!m_isServing && !m_awaitsWritten) {
         readNextRequest();
     }
 }
@@ -86,6 +100,7 @@
         const auto progress
             = m_reader.read({static_cast<const char *>(piece.iov_base), piece.iov_len}, used);
         evbuffer_drain(input, used);
+        m_receivedBytes += used;
         if (!hadBegun && m_reader.hasBegun()) {
             m_timer.startOnce(m_limits.requestTimeout);
         }
@@ -101,25 +116,38 @@
         case HttpReader::Progress::BodyTooLong:
             refuse(contentTooLarge, "request body too long");
             return;
-        case HttpReader::Progress::Finished: {
-            m_timer.stop();
-            m_isServing = true;
-            m_sentContinue = false;
-            bufferevent_setwatermark(m_stream, EV_READ, 0, readAheadBytes);
-            Arrival arrival {m_reader.takeRequest(), std::chrono::steady_clock::now(), m_isFirst};
-            m_isFirst = false;
-            m_method = arrival.request.method;
-            m_closesAfterReply = m_closesAfterReply || !arrival.request.keepsConnection;
-            m_hooks.onRequest(*this, std::move(arrival));
+        case HttpReader::Progress::Finished:
+            passOn();
             return;
         }
-        }
     }
     if (m_reader.awaitsContinue() && !m_sentContinue) {
         m_sentContinue = true;
         constexpr std::string_view interim = "HTTP/1.1 100 Continue\r\n\r\n";
+        m_writtenBytes += interim.size();
         bufferevent_write(m_stream, interim.data(), interim.size());
     }
+    reportUsage();
+}
+
+void CallerConnection::passOn()
+{
+    // Charged before the request runs, so that it can still give way.
+    m_runningBytes = m_reader.heldBytes() * (runningCopies - 1);
+    reportUsage();
+    if (m_isClosing) {
+        return;
+    }
+    m_timer.stop();
+    m_isServing = true;
+    m_sentContinue = false;
+    m_runningBytes = m_reader.heldBytes() * runningCopies;
+    bufferevent_setwatermark(m_stream, EV_READ, 0, readAheadBytes);
+    Arrival arrival {m_reader.takeRequest(), std::chrono::steady_clock::now(), m_isFirst};
+    m_isFirst = false;
+    m_method = arrival.request.method;
+    m_closesAfterReply = m_closesAfterReply || !arrival.request.keepsConnection;
+    m_hooks.onRequest(*this, std::move(arrival));
 }
 
 void CallerConnection::reply(HttpReplyMessage reply)
@@ -127,13 +155,26 @@
     reply.keepsConnection = !m_closesAfterReply;
     const std::string bytes = serialize(reply, m_method);
     bufferevent_write(m_stream, bytes.data(), bytes.size());
+    m_writtenBytes += bytes.size();
     m_isServing = false;
+    m_runningBytes = 0;
     if (m_closesAfterReply) {
         startClosing();
+        reportUsage();
         return;
     }
-    bufferevent_setwatermark(m_stream, EV_READ, 0, 0);
     startIdleTimer();
+    m_awaitsWritten = evbuffer_get_length(bufferevent_get_output(m_stream)) > maxUnwrittenBytes;
+    reportUsage();
+    if (!m_awaitsWritten) {
+        resumeReading();
+    }
+}
+
+void CallerConnection::resumeReading()
+{
+    m_awaitsWritten = false;
+    bufferevent_setwatermark(m_stream, EV_READ, 0, 0);
     readNextRequest();
 }
 
@@ -153,19 +194,77 @@
     if (m_isClosing) {
         m_timer.startOnce(lingerTimeout);
         shutdown(bufferevent_getfd(m_stream), SHUT_WR);
+    } else if (m_awaitsWritten) {
+        resumeReading();
+        return;
     }
+    reportUsage();
 }
 
 void CallerConnection::refuse(int status, const char *reason)
 {
     m_hooks.onRefused(status, reason);
-    m_closesAfterReply = true;
-    m_method.clear();
     HttpReplyMessage refusal;
     refusal.status = status;
+    sendRefusal(std::move(refusal));
+}
+
+void CallerConnection::sendRefusal(HttpReplyMessage refusal)
+{
+    m_closesAfterReply = true;
+    m_method.clear();
+    m_reader.discard();
     reply(std::move(refusal));
 }
 
+void CallerConnection::giveWay()
+{
+    if (stage() != CallerUsage::Stage::Receiving) {
+        abort();
+        return;
+    }
+    HttpReplyMessage refusal;
+    refusal.status = statusUnavailable;
+    refusal.headers.add("Retry-After", giveWayRetryAfter);
+    sendRefusal(std::move(refusal));
+}
+
+CallerUsage::Stage CallerConnection::stage() const
+{
+    if (m_isServing) {
+        return CallerUsage::Stage::Running;
+    }
+    if (!m_isClosing && m_reader.hasBegun()) {
+        return CallerUsage::Stage::Receiving;
+    }
+    if (hasUnwrittenOutput()) {
+        return CallerUsage::Stage::Replying;
+    }
+    if (m_isClosing) {
+        return CallerUsage::Stage::Closing;
+    }
+    return m_isFirst ? CallerUsage::Stage::Silent : CallerUsage::Stage::Idle;
+}
+
+CallerUsage CallerConnection::usage() const
+{
+    const std::size_t input = evbuffer_get_length(bufferevent_get_input(m_stream));
+    const std::size_t output = evbuffer_get_length(bufferevent_get_output(m_stream));
+    CallerUsage usage;
+    usage.stage = stage();
+    usage.bytes
+        = CallerBudget::connectionBytes + m_reader.heldBytes() + m_runningBytes + input + output;
+    usage.progress = m_receivedBytes + m_writtenBytes - output;
+    return usage;
+}
+
+void CallerConnection::reportUsage()
+{
+    if (m_hooks.onUsageChanged) {
+        m_hooks.onUsageChanged(*this);
+    }
+}
+
 void CallerConnection::abort()
 {
     m_isServing = false;
--- a/src/Pimentoward/Connection/CallerConnection.h
+++ b/src/Pimentoward/Connection/CallerConnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Pimentoward/Connection/CallerBudget.h"
 #include "Pimentoward/Connection/CallerServerSettings.h"
 #include "Pimentoward/Connection/HttpReader.h"
 #include "Pimentoward/Core/Types.h"
@@ -36,16 +37,26 @@
         std::function<void(CallerConnection &)> onCallerGone;
         /// The request could not be read and was refused with `status` because of `reason`.
         std::function<void(int status, const char *reason)> onRefused;
+        /// What the connection holds may have changed. The hook may let this connection give way.
+        /// Not set if the callers' memory has no limit.
+        std::function<void(CallerConnection &)> onUsageChanged;
         /// The connection has ended. It may be destroyed inside this hook.
         std::function<void(CallerConnection &)> onClosed;
     };
 
     /// Takes ownership of the accepted `socket`. `hooks` must outlive the connection.
-    CallerConnection(event_base *loop, int socket, const CallerLimits &limits, const Hooks &hooks);
+    CallerConnection(event_base *loop, int socket, CallerBudget::ConnectionId id,
+                     const CallerLimits &limits, const Hooks &hooks);
     ~CallerConnection();
     CallerConnection(const CallerConnection &) = delete;
     CallerConnection &operator=(const CallerConnection &) = delete;
 
+    CallerBudget::ConnectionId id() const { return m_id; }
+    /// What the connection holds at present.
+    CallerUsage usage() const;
+    /// Refuses the request that is arriving, with a status that promises that it never runs, or
+    /// closes the connection if no request is arriving. Must not be called while a request runs.
+    void giveWay();
     /// Replies to the request last passed to onRequest. Must be called once for each request.
     void reply(HttpReplyMessage reply);
     /// Closes the connection without a reply.
@@ -70,17 +81,31 @@
     void onWritten();
     void onTimeout();
     void refuse(int status, const char *reason);
+    void sendRefusal(HttpReplyMessage refusal);
+    CallerUsage::Stage stage() const;
+    /// Passes on the request that the reader has finished.
+    void passOn();
+    void reportUsage();
+    void resumeReading();
     void readNextRequest();
     void startIdleTimer();
     void startClosing();
 
+    CallerBudget::ConnectionId m_id;
     bufferevent *m_stream = nullptr;
     CallerLimits m_limits;
     const Hooks &m_hooks;
     HttpReader m_reader;
     Timer m_timer;
     std::string m_method;
+    /// Memory of the request that runs, in bytes.
+    std::size_t m_runningBytes = 0;
+    /// Bytes received from the caller, and bytes written for it.
+    std::uint64_t m_receivedBytes = 0;
+    std::uint64_t m_writtenBytes = 0;
     bool m_isServing = false;
+    /// True while the next request waits until the caller has taken the reply before it.
+    bool m_awaitsWritten = false;
     bool m_isFirst = true;
     bool m_closesAfterReply = false;
     bool m_isClosing = false;
--- a/src/Pimentoward/Connection/CallerServer.cpp
+++ b/src/Pimentoward/Connection/CallerServer.cpp
@@ -14,11 +14,27 @@
 
 namespace pimentoward {
 
-CallerServer::CallerServer(event_base *loop, CallerConnection::Hooks hooks)
+namespace {
+
+/// Time after which accepting is tried again while no open connection may be closed.
+constexpr std::chrono::milliseconds acceptPause {50};
+/// Time for which a count of the connections to backend servers is used; counting takes a step for
+/// each backend server.
+constexpr std::chrono::seconds backendCountPeriod {1};
+
+} // namespace
+
+CallerServer::CallerServer(event_base *loop, const CallerBudget::Settings &budget, Hooks hooks)
     : m_loop(loop)
     , m_hooks(std::move(hooks))
+    , m_budget(budget)
+    , m_acceptTimer(loop, [this] { resumeAccepting(); })
 {
-    m_hooks.onClosed = [this](CallerConnection &connection) { remove(connection); };
+    m_hooks.connection.onClosed = [this](CallerConnection &connection) { remove(connection); };
+    if (m_budget.isLimited()) {
+        m_hooks.connection.onUsageChanged
+            = [this](CallerConnection &connection) { onUsageChanged(connection); };
+    }
 }
 
 CallerServer::~CallerServer()
@@ -77,17 +93,94 @@
 
 void CallerServer::accept(int socket)
 {
-    auto connection = std::make_unique<CallerConnection>(m_loop, socket, m_limits, m_hooks);
+    if (!makeRoom()) {
+        evutil_closesocket(socket);
+        return;
+    }
+    auto connection = std::make_unique<CallerConnection>(m_loop, socket, ++m_lastId, m_limits,
+                                                         m_hooks.connection);
     CallerConnection *accepted = connection.get();
     if (!m_keepsConnections) {
         accepted->closeAfterReply();
     }
-    m_connections.emplace(accepted, std::move(connection));
+    m_connections.emplace(accepted->id(), std::move(connection));
+    if (m_budget.isLimited()) {
+        onUsageChanged(*accepted);
+        if (!makeRoom() && m_listener != nullptr) {
+            // The callers wait in the kernel's queue.
+            evconnlistener_disable(m_listener);
+            m_acceptTimer.startOnce(acceptPause);
+        }
+    }
+}
+
+void CallerServer::resumeAccepting()
+{
+    if (m_listener == nullptr) {
+        return;
+    }
+    if (makeRoom()) {
+        evconnlistener_enable(m_listener);
+    } else {
+        m_acceptTimer.startOnce(acceptPause);
+    }
+}
+
+std::size_t CallerServer::backendConnections()
+{
+    const SteadyTime now = std::chrono::steady_clock::now();
+    if (now >= m_backendConnectionsUntil) {
+        m_backendConnections = m_hooks.backendConnections();
+        m_backendConnectionsUntil = now + backendCountPeriod;
+    }
+    return m_backendConnections;
+}
+
+bool CallerServer::makeRoom()
+{
+    while (m_budget.isLimited() && !m_budget.mayAccept(backendConnections())) {
+        const auto choice = m_budget.nextToClose();
+        if (!choice) {
+            return false;
+        }
+        m_hooks.onGaveWay(*choice);
+        m_connections.at(choice->connection)->abort();
+    }
+    return true;
+}
+
+void CallerServer::onUsageChanged(CallerConnection &connection)
+{
+    m_budget.update(connection.id(), connection.usage(), std::chrono::steady_clock::now());
+    keepWithinMemory();
+}
+
+void CallerServer::keepWithinMemory()
+{
+    // A connection that gives way reports its usage, which leads here again.
+    if (m_isKeepingWithinMemory) {
+        return;
+    }
+    m_isKeepingWithinMemory = true;
+    const SteadyTime now = std::chrono::steady_clock::now();
+    if (m_budget.nextToGiveWay(now)) {
+        // Callers take bytes of their replies without an event each time.
+        for (const auto &[id, connection] : m_connections) {
+            m_budget.update(id, connection->usage(), now);
+        }
+    }
+    while (const auto choice = m_budget.nextToGiveWay(now)) {
+        m_hooks.onGaveWay(*choice);
+        m_connections.at(choice->connection)->giveWay();
+    }
+    m_isKeepingWithinMemory = false;
 }
 
 void CallerServer::remove(CallerConnection &connection)
 {
-    m_connections.erase(&connection);
+    const CallerBudget::ConnectionId id = connection.id();
+    m_budget.remove(id);
+    m_connections.erase(id);
 }
 
 std::vector<CallerConnection *> CallerServer::allConnections() const
@@ -95,7 +188,7 @@
     std::vector<CallerConnection *> connections;
     connections.reserve(m_connections.size());
     for (const auto &[key, connection] : m_connections) {
-        connections.push_back(key);
+        connections.push_back(connection.get());
     }
     return connections;
 }
--- a/src/Pimentoward/Connection/CallerServer.h
+++ b/src/Pimentoward/Connection/CallerServer.h
@@ -17,8 +17,18 @@
 class CallerServer
 {
 public:
-    /// `hooks` are passed to each connection, except onClosed, which the server replaces.
-    CallerServer(event_base *loop, CallerConnection::Hooks hooks);
+    struct Hooks
+    {
+        /// Passed to each connection, except onClosed and onUsageChanged, which the server
+        /// replaces.
+        CallerConnection::Hooks connection;
+        /// A connection has given way because of a limit of all callers together.
+        std::function<void(const CallerBudget::Choice &)> onGaveWay;
+        /// Returns the number of connections to backend servers. Called at most once a second.
+        std::function<std::size_t()> backendConnections;
+    };
+
+    CallerServer(event_base *loop, const CallerBudget::Settings &budget, Hooks hooks);
     ~CallerServer();
     CallerServer(const CallerServer &) = delete;
     CallerServer &operator=(const CallerServer &) = delete;
@@ -37,18 +47,35 @@
     /// also if it has not been read completely.
     std::size_t unanswered() const;
     std::size_t connections() const { return m_connections.size(); }
+    /// Memory of all connections together, in bytes; 0 if it has no limit.
+    std::size_t heldBytes() const { return m_budget.bytes(); }
 
 private:
     void accept(int socket);
     void acceptPending();
     void remove(CallerConnection &connection);
+    /// Closes connections until one more may be accepted. Returns false if none may be closed.
+    bool makeRoom();
+    void onUsageChanged(CallerConnection &connection);
+    /// Lets connections give way until the memory is within its limits.
+    void keepWithinMemory();
+    void resumeAccepting();
+    /// Number of connections to backend servers, at most a second ago.
+    std::size_t backendConnections();
     std::vector<CallerConnection *> allConnections() const;
 
     event_base *m_loop;
-    CallerConnection::Hooks m_hooks;
+    Hooks m_hooks;
+    CallerBudget m_budget;
+    CallerBudget::ConnectionId m_lastId = 0;
     CallerLimits m_limits;
     evconnlistener *m_listener = nullptr;
-    std::unordered_map<CallerConnection *, std::unique_ptr<CallerConnection>> m_connections;
+    std::unordered_map<CallerBudget::ConnectionId, std::unique_ptr<CallerConnection>> m_connections;
+    /// Runs while no connection is accepted because none of those open may be closed.
+    Timer m_acceptTimer;
+    bool m_isKeepingWithinMemory = false;
+    std::size_t m_backendConnections = 0;
+    SteadyTime m_backendConnectionsUntil {};
     bool m_keepsConnections = true;
 };
 
--- a/src/Pimentoward/Connection/HttpReader.cpp
+++ b/src/Pimentoward/Connection/HttpReader.cpp
@@ -328,6 +328,24 @@
     return m_state->headBytes + m_state->body().size();
 }
 
+std::size_t HttpReader::heldBytes() const
+{
+    const State &state = *m_state;
+    const HttpRequestMessage &request = state.request;
+    const HttpReplyMessage &reply = state.reply;
+    const std::size_t fields
+        = request.headers.fields().capacity() + reply.headers.fields().capacity();
+    return state.headBytes + fields * sizeof(HttpHeader) + request.body.capacity()
+        + reply.body.capacity();
+}
+
+void HttpReader::discard()
+{
+    const auto direction
+        = m_state->parser.type == HTTP_REQUEST ? Direction::Requests : Direction::Replies;
+    m_state = std::make_unique<State>(direction);
+}
+
 bool HttpReader::hasBegun() const
 {
     return m_state->begun;
--- a/src/Pimentoward/Connection/HttpReader.h
+++ b/src/Pimentoward/Connection/HttpReader.h
@@ -60,6 +60,10 @@
     HttpReplyMessage takeReply();
     /// Number of bytes that the unfinished message takes so far.
     std::size_t bufferedBytes() const;
+    /// Estimate of the memory that the unfinished message takes so far, in bytes.
+    std::size_t heldBytes() const;
+    /// Drops the unfinished message and frees its memory. The reader must not be used further.
+    void discard();
     /// True if a message has begun and has not been taken yet.
     bool hasBegun() const;
     /// True if the head is complete and the sender waits for "100 Continue" to send the body.
--- a/src/Pimentoward/Process/ServingTask.cpp
+++ b/src/Pimentoward/Process/ServingTask.cpp
@@ -15,7 +15,7 @@
 ServingTask::ServingTask(const ServingTaskSettings &settings)
     : m_settings(settings)
     , m_forwarder(m_task.loop(), settings.forwarder, m_metrics)
-    , m_callers(m_task.loop(), callerHooks())
+    , m_callers(m_task.loop(), settings.callerBudget, callerHooks())
     , m_readyServer(m_task.loop(), {})
     , m_metricsServer(m_task.loop(), {})
     , m_metricsTimer(m_task.loop(), [this] { m_metrics.rotate(); })
@@ -40,7 +40,30 @@
     m_task.stop();
 }
 
-CallerConnection::Hooks ServingTask::callerHooks()
+CallerServer::Hooks ServingTask::callerHooks()
+{
+    CallerServer::Hooks hooks;
+    hooks.connection = connectionHooks();
+    hooks.onGaveWay = [this](const CallerBudget::Choice &choice) { reportGaveWay(choice); };
+    hooks.backendConnections = [this] { return m_forwarder.fleet().connections(); };
+    return hooks;
+}
+
+void ServingTask::reportGaveWay(const CallerBudget::Choice &choice)
+{
+    const char *limit = CallerBudget::name(choice.limit);
+    LOG4CPLUS_WARN(Log::part("callers"),
+                   "event=caller-gave-way limit=" << limit << " bytes=" << choice.usage.bytes
+                                                  << " all_bytes=" << m_callers.heldBytes()
+                                                  << " connections=" << m_callers.connections());
+    m_metrics
+        .counter("pimentoward_callers_gave_way_total",
+                 "Connections of callers that gave way to a limit of all callers together",
+                 {{"limit", limit}})
+        .add();
+}
+
+CallerConnection::Hooks ServingTask::connectionHooks()
 {
     CallerConnection::Hooks hooks;
     hooks.onRequest = [this](CallerConnection &caller, CallerConnection::Arrival arrival) {
@@ -65,6 +88,8 @@
                     [this] { return static_cast<double>(m_forwarder.running()); });
     m_metrics.gauge("pimentoward_caller_connections", "Connections of callers",
                     [this] { return static_cast<double>(m_callers.connections()); });
+    m_metrics.gauge("pimentoward_caller_bytes", "Memory of the connections of callers, in bytes",
+                    [this] { return static_cast<double>(m_callers.heldBytes()); });
     m_metrics.gauge("pimentoward_backend_servers", "Backend servers in service",
                     [this] { return static_cast<double>(m_forwarder.fleet().size()); });
     m_metrics.gauge("pimentoward_backend_connections", "Connections to backend servers",
--- a/src/Pimentoward/Process/ServingTask.h
+++ b/src/Pimentoward/Process/ServingTask.h
@@ -24,6 +24,8 @@
     /// Address at which metrics are served as text. Without an address they are not served.
     std::optional<Address> metricsListen;
     std::string metricsPath = "/metrics";
+    /// Limits of all callers together.
+    CallerBudget::Settings callerBudget;
     ForwarderSettings forwarder;
 };
 
@@ -75,7 +77,9 @@
 private:
     HttpAnswer readyAnswer() const;
     void addGauges();
-    CallerConnection::Hooks callerHooks();
+    CallerConnection::Hooks connectionHooks();
+    CallerServer::Hooks callerHooks();
+    void reportGaveWay(const CallerBudget::Choice &choice);
 
     ServingTaskSettings m_settings;
     Task m_task {"serving"};
--- a/src/Pimentoward/Process/SettingsPages.cpp
+++ b/src/Pimentoward/Process/SettingsPages.cpp
@@ -48,6 +48,23 @@
           "setting that is new in a\nversion only once all VMs run that version.\n\n";
 }
 
+/// What `pimento-tier` derives from the limits of its VM in the platform's settings file.
+std::string callerLimits()
+{
+    return "\n## Limits of callers, `pimento-tier`\n\n"
+           "Derived at start from the VM's `limits` in the platform's settings file; without them "
+           "there is no limit.\n\n"
+           "| limit | default | meaning |\n|---|---|---|\n"
+           "| `caller-memory` | a quarter of `memoryMb` | Memory of all connections of callers "
+           "together: heads, bodies, requests that run, replies that are not taken. |\n"
+           "| `large-requests` | three quarters of `caller-memory` | What connections with more "
+           "than 32 KB each may take of it; the rest is for small requests. |\n"
+           "| `caller-connections` | `maxFds` less 200 for files, 64 for the VM's other addresses "
+           "and links, and what backend servers use (a quarter at least); at most 4 KB each in "
+           "half "
+           "of `caller-memory` | Connections of callers. |\n";
+}
+
 } // namespace
 
 std::string SettingsPages::resultCodes()
@@ -71,7 +88,7 @@
           "overrides the default. `--check` only checks,\n`--print-settings` shows each value and "
           "where it came from. Exit codes: 0 success, 1 failure, 2 invalid\nsettings, 3 an address "
           "cannot be listened on.\n\n"
-        + settingsRows(daemonSettingsTable(), true);
+        + settingsRows(daemonSettingsTable(), true) + callerLimits();
 }
 
 } // namespace pimentoward
--- a/tests/Process/CallerCrowdTest.cpp
+++ b/tests/Process/CallerCrowdTest.cpp
@@ -33,10 +33,10 @@
 /// Maximum time of a step, even under a sanitizer.
 constexpr std::chrono::seconds stepLimit {20};
 
-TierProcessFixture::Settings smallVm()
+TierProcessFixture::Settings smallVm(std::size_t memory)
 {
     TierProcessFixture::Settings settings;
-    settings.memoryMb = memoryMb;
+    settings.memoryMb = memory;
     settings.descriptors = descriptors;
     settings.site.adjustRoute = [](nlohmann::json &route) {
         constexpr int timeoutMs = 8000;
@@ -49,8 +49,8 @@
 class CrowdedVm
 {
 public:
-    CrowdedVm()
-        : m_fixture(smallVm())
+    explicit CrowdedVm(std::size_t memory = memoryMb)
+        : m_fixture(smallVm(memory))
     {
         m_fixture.site().writeSettings([](nlohmann::json &document) {
             constexpr int requestTimeoutMs = 20'000;
@@ -240,3 +240,20 @@
     vm.watch(5s, [] { return false; });
     vm.check();
 }
+
+// Guards against limits that a single request inside the operators' limits meets.
+TEST_CASE("A single request with the longest body is answered by the smallest VM", "[crowd]")
+{
+    constexpr std::size_t smallestVmMb = 112;
+    CrowdedVm vm(smallestVmMb);
+    TierProcessFixture::Request longest;
+    longest.method = "POST";
+    longest.path = "/once/x";
+    longest.body = std::string(bodyLimit, 'x');
+    longest.timeLeft = 8s;
+    const TierProcessFixture::Outcome &outcome = vm.fixture().send(longest);
+    vm.watch(stepLimit, [&] { return outcome.hasEnded; });
+    CHECK(outcome.status == 200);
+    vm.check();
+    CHECK(vm.fixture().logText().find("caller-gave-way") == std::string::npos);
+}
--- a/tests/platform/PlatformSettingsTest.cpp
+++ b/tests/platform/PlatformSettingsTest.cpp
@@ -37,6 +37,24 @@
 
 } // namespace
 
+TEST_CASE("The limits of all callers follow from the VM's own limits", "[platform]")
+{
+    constexpr std::size_t megabyte = 1'048'576;
+    Reason reason;
+    const auto limited = platform::readSettings(
+        settingsText + "[limits]\nmemoryMb = 112\nmaxFds = 4100\n", reason);
+    REQUIRE(limited);
+    CHECK(limited->process.serving.callerBudget.bytes == 28 * megabyte);
+    CHECK(limited->process.serving.callerBudget.descriptors == 3900);
+    for (const std::string odd : {"", "[limits]\nmemoryMb = -5\nmaxFds = -1\n",
+                                  "[limits]\nmemoryMb = nan\nmaxFds = \"many\"\n"}) {
+        const auto unlimited = platform::readSettings(settingsText + odd, reason);
+        REQUIRE(unlimited);
+        CHECK(unlimited->process.serving.callerBudget.bytes == 0);
+        CHECK(unlimited->process.serving.callerBudget.descriptors == 0);
+    }
+}
+
 TEST_CASE(
     "The platform's settings file is read into the tier's settings, and unknown fields are ignored")
 {
