--- a/tests/support/TierProcessFixture.h
+++ b/tests/support/TierProcessFixture.h
@@ -24,6 +24,9 @@
         std::chrono::seconds grace {4};
         /// Further lines for the section "bounds" of the settings file.
         std::string bounds;
+        /// The VM's limits of memory and of open descriptors; 0 if its settings state none.
+        std::size_t memoryMb = 0;
+        std::size_t descriptors = 0;
     };
 
     explicit TierProcessFixture(const Settings &settings);
@@ -41,6 +44,9 @@
     void restart();
     void signal(int number) { m_processes.signal(processName, number); }
     bool isRunning() const { return m_processes.isRunning(processName); }
+    /// The most resident memory that the process has had so far, in bytes.
+    std::uint64_t peakResidentBytes() const { return m_processes.peakResidentBytes(processName); }
+    std::size_t openDescriptors() const { return m_processes.openDescriptors(processName); }
     /// What the process has logged so far.
     std::string logText() const;
 
