--- a/src/Pimentoward/Sharing/RateGranter.cpp
+++ b/src/Pimentoward/Sharing/RateGranter.cpp
@@ -14,19 +14,25 @@
 
 } // namespace
 
-RateGranter::Role RateGranter::newRole(const RateLimit &limit, double wholeRate,
-                                       SteadyTime now) const
+RateGranter::Role RateGranter::newRole(const RateParts::Part &part, SteadyTime now) const
 {
-    const SteadyTime startsAt = now + m_settings.takeoverTime;
-    const double share = 1 - m_settings.staleShare;
-    return {limit,
-            wholeRate,
-            TokenBucket(scaledLimit(limit, share), startsAt),
-            startsAt,
-            now + m_settings.fullTime,
-            share,
-            share,
-            startsAt};
+    Role role {
+        part.limit, part.wholeRate, part.isReserve, TokenBucket(part.limit, now), now, now, 1, 1,
+        now};
+    if (!part.isReserve) {
+        restart(role, now);
+    }
+    return role;
+}
+
+void RateGranter::restart(Role &role, SteadyTime now) const
+{
+    role.startsAt = now + m_settings.takeoverTime;
+    role.fullAt = now + m_settings.fullTime;
+    role.earlyFraction = 1 - m_settings.staleShare;
+    role.fraction = role.earlyFraction;
+    role.bucket = TokenBucket(scaledLimit(role.limit, role.fraction), role.startsAt);
+    role.promisedUntil = role.startsAt;
 }
 
 bool RateGranter::wasFull(const Role &role) const
@@ -40,6 +46,9 @@
     if (now < role.startsAt) {
         return 0;
     }
+    if (role.isReserve) {
+        return age <= m_settings.maxStaleAge ? 1 : 0;
+    }
     if (age <= m_settings.maxViewAge) {
         return now < role.fullAt ? role.earlyFraction : 1;
     }
@@ -56,8 +65,7 @@
                 continue;
             }
             held.insert(part.key);
-            const auto [role, isNew]
-                = m_roles.try_emplace(part.key, newRole(part.limit, part.wholeRate, now));
+            const auto [role, isNew] = m_roles.try_emplace(part.key, newRole(part, now));
             if (isNew) {
                 changed.push_back(part.key);
             } else {
@@ -86,11 +94,14 @@
         // Another VM may have granted in between and not know yet that it is no longer the granter.
         // It had no more than what this VM left.
         for (auto &[key, role] : m_roles) {
+            if (role.isReserve) {
+                continue;
+            }
             if (age <= m_settings.maxStaleAge && wasFull(role)) {
                 role.fullAt = now + m_settings.takeoverTime;
                 role.earlyFraction = m_settings.staleShare;
             } else {
-                role = newRole(role.limit, role.wholeRate, now);
+                restart(role, now);
             }
         }
     }
--- a/src/Pimentoward/Sharing/RateGranter.h
+++ b/src/Pimentoward/Sharing/RateGranter.h
@@ -41,7 +41,8 @@
 /// does not know what was granted; it grants the rest of the part after `takeoverTime`, and all of
 /// it after `fullTime`. These are longer than twice the ages before: a VM that granted all has
 /// reduced itself by the first and has stopped by the second, even if the lists changed back and
-/// forth in between. So the sum never exceeds the part.
+/// forth in between. So the sum never exceeds the part. A reserve is granted without these waits,
+/// since it is so small that two VMs can grant it at a time.
 class RateGranter
 {
 public:
@@ -52,7 +53,7 @@
         Duration takeoverTime = std::chrono::seconds(9);
         Duration maxStaleAge = std::chrono::seconds(40);
         Duration fullTime = std::chrono::seconds(81);
-        double staleShare = 0.4;
+        double staleShare = 0.2;
         /// Limit of the time after which a refused request may be sent again.
         Duration maxRetryAfter = std::chrono::seconds(10);
     };
@@ -78,6 +79,7 @@
     {
         RateLimit limit;
         double wholeRate;
+        bool isReserve;
         TokenBucket bucket;
         SteadyTime startsAt;
         /// From this time on, all of the part is granted.
@@ -91,7 +93,9 @@
         SteadyTime promisedUntil;
     };
 
-    Role newRole(const RateLimit &limit, double wholeRate, SteadyTime now) const;
+    Role newRole(const RateParts::Part &part, SteadyTime now) const;
+    /// Lets a role wait again before it grants.
+    void restart(Role &role, SteadyTime now) const;
     /// True if the role granted all of its part when the list of VMs was last confirmed.
     bool wasFull(const Role &role) const;
     /// Fraction of the part that may be granted now.
--- a/src/Pimentoward/Sharing/RateParts.cpp
+++ b/src/Pimentoward/Sharing/RateParts.cpp
@@ -14,9 +14,9 @@
 constexpr double minPartBurst = 2;
 /// A limit is divided only if each part has at least this many requests per second.
 constexpr double minPartRate = 1;
-/// Fraction of the tolerated excess that the reserve grants. The rest covers requests that are sent
-/// somewhat later than they were admitted.
-constexpr double reserveRatio = 0.75;
+/// Fraction of the tolerated excess that the reserve grants. Two VMs may grant it at a time. The
+/// rest covers requests that are sent somewhat later than they were admitted.
+constexpr double reserveRatio = 0.4;
 
 /// True if `vm` with this weight is preferred to the granter of `part`.
 bool isPreferred(const MemberId &vm, std::uint64_t weight, const RateParts::Part &part)
