--- a/tests/Rollout/RolloutPlanTest.cpp
+++ b/tests/Rollout/RolloutPlanTest.cpp
@@ -30,6 +30,7 @@
 {
     const std::vector<MemberId> members = membersOf(vms);
     std::vector<RolloutPlan::Part> parts;
+    parts.reserve(vms);
     for (const MemberId &member : members) {
         parts.push_back(RolloutPlan::part(planSettings(), members, member, "service"));
     }
@@ -47,6 +48,7 @@
         std::uint64_t sent = 0;
     };
     std::vector<Vm> all;
+    all.reserve(parts.size());
     for (const RolloutPlan::Part &part : parts) {
         all.push_back({part, 0, 0});
     }
