StoreMirror: a store that comes back from a copy starts a new era

The position in the store is (era, revision) in the mirror, the copy, the feed between VMs and the registration. A higher era lists everything again; an answer of a lower position is refused and logged. Without the header the era is 0 and messages between VMs are as before. The stand-in store learns eras and restoring.

--- a/src/Pimentoward/Discovery/DiscoveredRecords.cpp
+++ b/src/Pimentoward/Discovery/DiscoveredRecords.cpp
@@ -31,6 +31,7 @@
                                      const Settings &settings, Hooks hooks, MemberHooks memberHooks)
     : m_codec(std::move(codec))
     , m_requiresNewerSettings(settings.requiresNewerSettings)
+    , m_restoreGrace(settings.restoreGrace)
     , m_hooks(std::move(hooks))
     , m_memberHooks(std::move(memberHooks))
     , m_directory(settings.directory)
@@ -49,6 +50,7 @@
         LOG4CPLUS_INFO(recordsLog(),
                        "event=domain-out domain=" << logText(*domain)
                                                   << " revision=" << item.revision);
+        m_domainsHeldOut.erase(*domain);
         m_directory.setDomainOutOfService(*domain, true);
     } else if (const auto member = withoutPrefix(item.key, m_codec.memberPrefix)) {
         applyMember(*member, item);
@@ -129,10 +131,16 @@
 {
     if (const auto id = withoutPrefix(key, m_codec.backendPrefix)) {
         LOG4CPLUS_INFO(recordsLog(), "event=backend-gone backend=" << logText(*id));
+        if (m_isListingRestored) {
+            m_directory.onOutage(now);
+        }
         m_directory.onRemoved(*id, now);
     } else if (const auto domain = withoutPrefix(key, m_codec.domainOutPrefix)) {
-        LOG4CPLUS_INFO(recordsLog(), "event=domain-back domain=" << logText(*domain));
-        m_directory.setDomainOutOfService(*domain, false);
+        if (m_isListingRestored) {
+            m_domainsHeldOut[*domain] = now + m_restoreGrace;
+        } else {
+            putBackIntoService(*domain);
+        }
     } else if (const auto member = withoutPrefix(key, m_codec.memberPrefix)) {
         LOG4CPLUS_INFO(recordsLog(), "event=member-gone member=" << logText(*member));
         m_members.onMemberRemoved(*member, now);
@@ -140,8 +148,26 @@
     }
 }
 
+void DiscoveredRecords::putBackIntoService(const FailureDomain &domain)
+{
+    LOG4CPLUS_INFO(recordsLog(), "event=domain-back domain=" << logText(domain));
+    m_directory.setDomainOutOfService(domain, false);
+}
+
+void DiscoveredRecords::expireDomains(SteadyTime now)
+{
+    for (auto it = m_domainsHeldOut.begin(); it != m_domainsHeldOut.end();) {
+        const bool isDue = it->second <= now;
+        if (isDue) {
+            putBackIntoService(it->first);
+        }
+        it = isDue ? m_domainsHeldOut.erase(it) : std::next(it);
+    }
+}
+
 void DiscoveredRecords::publish(SteadyTime now)
 {
+    expireDomains(now);
     if (m_pendingSettings) {
         applyRoutes(*m_pendingSettings);
         m_pendingSettings.reset();
@@ -167,6 +193,9 @@
     if (const auto change = m_members.nextChange()) {
         next = std::min(next.value_or(*change), *change);
     }
+    for (const auto &[domain, heldUntil] : m_domainsHeldOut) {
+        next = std::min(next.value_or(heldUntil), heldUntil);
+    }
     return next;
 }
 
--- a/src/Pimentoward/Discovery/DiscoveredRecords.h
+++ b/src/Pimentoward/Discovery/DiscoveredRecords.h
@@ -8,6 +8,7 @@
 #include "Pimentoward/Version/RouteTable.h"
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -30,6 +31,9 @@
         /// Rejects settings whose revision is not newer than the one in force. Only tests switch
         /// this off; the settings written last then apply even if they are older.
         bool requiresNewerSettings = true;
+        /// How long a failure domain stays out of service after the store has come back from a copy
+        /// that lacks the operators' key for it. They write it again within this time.
+        Duration restoreGrace = std::chrono::seconds(5);
     };
 
     /// Hooks that receive the state in force. Each one runs only after its part of the state has
@@ -62,6 +66,11 @@
     void onOutage(SteadyTime time) { m_directory.onOutage(time); }
     /// Reports that `count` entries of the store's answer could not be used.
     void onLeftOut(std::size_t count) { reportUnusable(RecordKind::StoreEntry, count); }
+    /// Reports that the store has come back from a copy some seconds old and will be listed.
+    /// Records that the copy lacks are used for a while, because their writers write them again.
+    void onRestored() { m_isListingRestored = true; }
+    /// Reports the end of a full listing.
+    void onListed() { m_isListingRestored = false; }
     /// Applies the record of one VM. Discovery also calls this for records that it has read outside
     /// the mirror.
     void applyMember(const MemberId &member, const StoreItem &item);
@@ -76,10 +85,17 @@
 private:
     void applyBackend(const BackendServerId &id, const StoreItem &item);
     void applyRoutes(const StoreItem &item);
+    void putBackIntoService(const FailureDomain &domain);
+    /// Puts domains back whose key was lost with a copy of the store and not written again in time.
+    void expireDomains(SteadyTime now);
     void reportUnusable(RecordKind kind, std::size_t count);
 
     RecordCodec m_codec;
     bool m_requiresNewerSettings;
+    Duration m_restoreGrace;
+    bool m_isListingRestored = false;
+    /// Failure domains whose key the store has lost with a copy, and until when they stay out.
+    std::map<FailureDomain, SteadyTime> m_domainsHeldOut;
     Hooks m_hooks;
     MemberHooks m_memberHooks;
     BackendDirectory m_directory;
--- a/src/Pimentoward/Discovery/Discovery.cpp
+++ b/src/Pimentoward/Discovery/Discovery.cpp
@@ -25,17 +25,15 @@
     , m_settings(settings)
     , m_records(std::move(codec), settings.feed.self, settings.records, std::move(hooks),
                 {[this](const FeedChooser::Member &member) { m_chooser.onMemberPresent(member); },
-                 [this](const MemberId &member) { onMemberRemoved(member); }})
+                 [this](const MemberId &member) { m_chooser.onMemberRemoved(member); }})
     , m_mirror(settings.mirror,
                {[this](const StoreItem &item) {
                     m_copy.onWritten(item);
                     m_records.onWritten(item);
                 },
-                [this](const std::string &key, Revision revision) {
-                    m_copy.onRemoved(key, revision);
-                    m_records.onRemoved(key, m_clock.now());
-                },
-                [this] { onOutage(); }, [this](bool isList) { onCaughtUp(isList); }})
+                [this](const std::string &key, Revision revision) { onKeyRemoved(key, revision); },
+                [this] { onOutage(); }, [this](bool isList) { onCaughtUp(isList); },
+                [this](StoreEra era, bool isRestored) { onEra(era, isRestored); }})
     , m_registration(loop, store, registrationSettings(settings))
     , m_chooser(settings.feed)
     , m_feedClient(loop)
@@ -117,11 +115,12 @@
     }
     m_store.range(m_settings.mirror.prefix, list.after,
                   [this](const std::optional<StorePage> &page, const StoreFailure &failure) {
-                      if (page) {
+                      if (page && !isStoreBehind({page->era, page->revision})) {
                           onStoreAnswered();
                           m_records.onLeftOut(page->leftOut);
                           m_mirror.onPage(*page);
-                      } else {
+                          m_registration.onEra(page->era);
+                      } else if (!page) {
                           onStoreFailed(failure);
                       }
                       runNextStep();
@@ -141,11 +140,12 @@
     }
     m_store.watch(m_settings.mirror.prefix, watch.after, wait,
                   [this](const std::optional<StoreChanges> &changes, const StoreFailure &failure) {
-                      if (changes) {
+                      if (changes && !isStoreBehind({changes->era, changes->revision})) {
                           onStoreAnswered();
                           m_records.onLeftOut(changes->leftOut);
                           m_mirror.onChanges(*changes);
-                      } else {
+                          m_registration.onEra(changes->era);
+                      } else if (!changes) {
                           onStoreFailed(failure);
                       }
                       runNextStep();
@@ -163,8 +163,10 @@
         vm, after, [this, vm](const std::optional<FeedPage> &page, const StoreFailure &failure) {
             if (!page) {
                 onVmFailed(vm, failure);
-            } else if (updateFreshness(vm, page->freshness, page->page.revision)) {
+            } else if (updateFreshness(vm, page->freshness,
+                                       {page->page.era, page->page.revision})) {
                 m_mirror.onPage(page->page);
+                m_registration.onEra(page->page.era);
             }
             runNextStep();
         });
@@ -173,12 +175,14 @@
 void Discovery::watchFromVm(const Address &vm, Revision after, Duration wait)
 {
     m_feedClient.watch(
-        vm, after, wait,
+        vm, {m_mirror.position().era, after}, wait,
         [this, vm](const std::optional<FeedChanges> &changes, const StoreFailure &failure) {
             if (!changes) {
                 onVmFailed(vm, failure);
-            } else if (updateFreshness(vm, changes->freshness, changes->changes.revision)) {
+            } else if (updateFreshness(vm, changes->freshness,
+                                       {changes->changes.era, changes->changes.revision})) {
                 m_mirror.onChanges(changes->changes);
+                m_registration.onEra(changes->changes.era);
             }
             runNextStep();
         });
@@ -213,7 +217,7 @@
 }
 
 bool Discovery::updateFreshness(const Address &vm, const FeedFreshness &freshness,
-                                Revision revision)
+                                const StorePosition &position)
 {
     const SteadyTime now = m_clock.now();
     m_chooser.onAnswered(vm, freshness.age, now);
@@ -222,7 +226,7 @@
         m_outageAt = std::max(m_outageAt.value_or(outageAt), outageAt);
         m_records.onOutage(*m_outageAt);
     }
-    if (revision < m_mirror.revision()) {
+    if (position < m_mirror.position()) {
         onVmFailed(vm, {StoreError::Refused, "the VM's copy is older than this VM's own copy"});
         return false;
     }
@@ -283,18 +287,48 @@
 {
     if (isList) {
         m_copy.clearHistory(m_mirror.revision());
+        m_records.onListed();
     }
     m_copy.onCaughtUp(m_mirror.revision());
     m_feedServer.onChanged();
     publish();
 }
 
-void Discovery::onMemberRemoved(const MemberId &member)
+void Discovery::onKeyRemoved(const std::string &key, Revision revision)
+{
+    m_copy.onRemoved(key, revision);
+    m_records.onRemoved(key, m_clock.now());
+    if (key == m_settings.registration.key) {
+        m_registration.onKeyRemoved({m_mirror.position().era, revision});
+    }
+}
+
+bool Discovery::isStoreBehind(const StorePosition &position)
+{
+    const StorePosition known = m_mirror.position();
+    if (!(position < known)) {
+        return false;
+    }
+    LOG4CPLUS_WARN(discoveryLog(),
+                   "event=store-behind era=" << position.era << " revision=" << position.revision
+                                             << " known_era=" << known.era
+                                             << " known_revision=" << known.revision);
+    onStoreFailed({StoreError::Malformed, "the store's answer is older than this VM's copy"});
+    return true;
+}
+
+void Discovery::onEra(StoreEra era, bool isRestored)
 {
-    m_chooser.onMemberRemoved(member);
-    if (member == m_settings.feed.self) {
-        m_registration.onKeyRemoved();
+    m_copy.startEra(era);
+    m_feedServer.onChanged();
+    if (!isRestored) {
+        return;
     }
+    LOG4CPLUS_WARN(discoveryLog(),
+                   "event=store-restored era=" << era
+                                               << " settings=" << m_records.settingsRevision());
+    m_outageAt = m_clock.now();
+    m_records.onRestored();
 }
 
 void Discovery::publish()
--- a/src/Pimentoward/Discovery/Discovery.h
+++ b/src/Pimentoward/Discovery/Discovery.h
@@ -69,10 +69,16 @@
     void listFromVm(const Address &vm, const std::string &after);
     void watchFromVm(const Address &vm, Revision after, Duration wait);
     void onStoreAnswered();
+    /// If the store's answer is older than this VM's copy, reports the call as failed and returns
+    /// true. A lower revision without a higher era is no copy that the store came back from.
+    bool isStoreBehind(const StorePosition &position);
+    void onEra(StoreEra era, bool isRestored);
+    void onKeyRemoved(const std::string &key, Revision revision);
     void onStoreFailed(const StoreFailure &failure);
     /// Records the freshness that a VM stated in its answer. If the VM's copy is older than this
     /// VM's own, reports the call as failed and returns false.
-    bool updateFreshness(const Address &vm, const FeedFreshness &freshness, Revision revision);
+    bool updateFreshness(const Address &vm, const FeedFreshness &freshness,
+                         const StorePosition &position);
     void onVmFailed(const Address &vm, const StoreFailure &failure);
     FeedFreshness freshness() const;
     /// Reports a change of whether the records may be outdated.
@@ -80,7 +86,6 @@
     void onOutage();
     void onCaughtUp(bool isList);
     void logSource(const FeedChooser::Choice &choice);
-    void onMemberRemoved(const MemberId &member);
     void publish();
 
     const Clock &m_clock;
--- a/src/Pimentoward/Discovery/FeedClient.cpp
+++ b/src/Pimentoward/Discovery/FeedClient.cpp
@@ -79,12 +79,16 @@
     clientOf(vm).send(call, hookFor<FeedPage>(std::move(done), &decodeFeedPage));
 }
 
-void FeedClient::watch(const Address &vm, Revision after, Duration wait, ChangesHook done)
+void FeedClient::watch(const Address &vm, const StorePosition &after, Duration wait,
+                       ChangesHook done)
 {
     const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(wait);
     HttpCall call;
-    call.target = std::string(feedWatchPath) + "?after=" + std::to_string(after)
+    call.target = std::string(feedWatchPath) + "?after=" + std::to_string(after.revision)
         + "&waitMs=" + std::to_string(milliseconds.count());
+    if (after.era > 0) {
+        call.target += "&era=" + std::to_string(after.era);
+    }
     call.timeout = wait + watchMargin;
     clientOf(vm).send(call, hookFor<FeedChanges>(std::move(done), &decodeFeedChanges));
 }
--- a/src/Pimentoward/Discovery/FeedClient.h
+++ b/src/Pimentoward/Discovery/FeedClient.h
@@ -26,7 +26,7 @@
     /// Reads the page after the key `after` of the copy of `vm`.
     void range(const Address &vm, const std::string &after, PageHook done);
     /// Asks `vm` for changes after the revision `after`; the VM answers after `wait` at the latest.
-    void watch(const Address &vm, Revision after, Duration wait, ChangesHook done);
+    void watch(const Address &vm, const StorePosition &after, Duration wait, ChangesHook done);
 
     /// Number of VMs to which connections are kept.
     std::size_t clients() const { return m_clients.size(); }
--- a/src/Pimentoward/Discovery/FeedMessages.cpp
+++ b/src/Pimentoward/Discovery/FeedMessages.cpp
@@ -37,6 +37,14 @@
     }
 }
 
+/// Adds the era, unless it is the only one of a store that does not state it.
+void addEra(Json &json, StoreEra era)
+{
+    if (era > 0) {
+        json["era"] = era;
+    }
+}
+
 std::string pack(const Json &json)
 {
     // Messages are compressed because settings with hundreds of routes are sent to many VMs over
@@ -84,6 +92,11 @@
     return freshness;
 }
 
+StoreEra eraOf(const Json &json)
+{
+    return hasUnsigned(json, "era") ? json["era"].get<StoreEra>() : 0;
+}
+
 /// Decompresses and parses the bytes; returns a discarded value if they are malformed.
 Json unpack(const std::string &bytes)
 {
@@ -111,6 +124,7 @@
 std::string encode(const FeedPage &message)
 {
     Json json = {{"revision", message.page.revision}, {"hasMore", message.page.hasMore}};
+    addEra(json, message.page.era);
     json["items"] = Json::array();
     for (const StoreItem &item : message.page.items) {
         json["items"].push_back(itemJson(item));
@@ -122,6 +136,7 @@
 std::string encode(const FeedChanges &message)
 {
     Json json = {{"revision", message.changes.revision}};
+    addEra(json, message.changes.era);
     json["events"] = Json::array();
     for (const StoreEvent &event : message.changes.events) {
         Json entry = itemJson(event.item);
@@ -142,6 +157,7 @@
     }
     FeedPage message;
     message.page.revision = (*json)["revision"].get<Revision>();
+    message.page.era = eraOf(*json);
     message.page.hasMore = json->contains("hasMore") && (*json)["hasMore"] == true;
     for (const Json &entry : (*json)["items"]) {
         std::optional<StoreItem> item = itemOf(entry);
@@ -163,6 +179,7 @@
     }
     FeedChanges message;
     message.changes.revision = (*json)["revision"].get<Revision>();
+    message.changes.era = eraOf(*json);
     for (const Json &entry : (*json)["events"]) {
         std::optional<StoreItem> item = itemOf(entry);
         if (!item) {
--- a/src/Pimentoward/Discovery/FeedServer.cpp
+++ b/src/Pimentoward/Discovery/FeedServer.cpp
@@ -78,8 +78,14 @@
         std::chrono::milliseconds(std::min<std::uint64_t>(
             numberOf(request.parameter("waitMs")), std::chrono::milliseconds(maxWait).count())),
         maxWait);
-    const PendingWatch pending {numberOf(request.parameter("after")), m_clock.now() + wait,
-                                respond};
+    const StorePosition after {numberOf(request.parameter("era")),
+                               numberOf(request.parameter("after"))};
+    if (m_copy.era() < after.era) {
+        // The caller knows of a later era; this copy has nothing for it yet.
+        respond(refusal(statusUnavailable));
+        return;
+    }
+    const PendingWatch pending {after, m_clock.now() + wait, respond};
     if (!answer(pending, wait == Duration::zero())) {
         m_pendingWatches.push_back(pending);
         startTimer();
@@ -88,8 +94,8 @@
 
 bool FeedServer::answer(const PendingWatch &pending, bool isDue)
 {
-    const std::optional<StoreChanges> changes = m_copy.changes(pending.after);
-    if (!changes) {
+    const std::optional<StoreChanges> changes = m_copy.changes(pending.after.revision);
+    if (!changes || pending.after.era != m_copy.era()) {
         pending.respond(refusal(statusGone));
         return true;
     }
@@ -100,7 +106,8 @@
     return true;
 }
 
-const std::string &FeedServer::encodedChanges(Revision after, const StoreChanges &changes)
+const std::string &FeedServer::encodedChanges(const StorePosition &after,
+                                              const StoreChanges &changes)
 {
     const SteadyTime now = m_clock.now();
     const bool hasSameRevisions
--- a/src/Pimentoward/Discovery/FeedServer.h
+++ b/src/Pimentoward/Discovery/FeedServer.h
@@ -24,7 +24,8 @@
 
     /// Binds the address for other VMs. Returns false, with a reason, if that fails.
     bool listen(const Address &address, Reason &reason) { return m_http.listen(address, reason); }
-    /// Answers the pending watches for which the copy now has changes.
+    /// Answers the pending watches for which the copy now has changes, and those that follow
+    /// another era of the store.
     void onChanged();
     /// Number of calls received so far.
     std::uint64_t calls() const { return m_calls; }
@@ -33,7 +34,7 @@
     /// A watch that waits for changes after a revision.
     struct PendingWatch
     {
-        Revision after = 0;
+        StorePosition after;
         SteadyTime until {};
         HttpServer::Responder respond;
     };
@@ -45,7 +46,7 @@
     bool answer(const PendingWatch &pending, bool isDue);
     /// Returns the message with all changes after a revision. VMs that follow this one mostly ask
     /// for changes after the same revision, so one message is encoded for all of them.
-    const std::string &encodedChanges(Revision after, const StoreChanges &changes);
+    const std::string &encodedChanges(const StorePosition &after, const StoreChanges &changes);
     void answerDueWatches();
     void startTimer();
 
@@ -57,7 +58,7 @@
     /// The message that was encoded last, its range of revisions, and when it was encoded.
     struct CachedMessage
     {
-        Revision after = 0;
+        StorePosition after;
         Revision upTo = 0;
         SteadyTime at {};
         std::string bytes;
--- a/src/Pimentoward/Discovery/KeyValueStore.h
+++ b/src/Pimentoward/Discovery/KeyValueStore.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace pimentoward {
@@ -14,6 +15,26 @@
 /// Number of a lease; 0 means no lease.
 using LeaseId = std::uint64_t;
 
+/// How often the store has come back from a copy of its content. Revisions given out after the copy
+/// was made are then given out again. 0 for a store that does not state it.
+using StoreEra = std::uint64_t;
+
+/// A point in the history of the store, ordered by era, then by revision.
+struct StorePosition
+{
+    StoreEra era = 0;
+    Revision revision = 0;
+
+    bool operator==(const StorePosition &other) const
+    {
+        return std::tie(era, revision) == std::tie(other.era, other.revision);
+    }
+    bool operator<(const StorePosition &other) const
+    {
+        return std::tie(era, revision) < std::tie(other.era, other.revision);
+    }
+};
+
 /// A key with its value.
 struct StoreItem
 {
@@ -39,6 +60,8 @@
     bool hasMore = false;
     /// Revision of the store when the page was read.
     Revision revision = 0;
+    /// Era to which all revisions of the page belong.
+    StoreEra era = 0;
     /// Number of items that cannot be used and are not in `items`.
     std::size_t leftOut = 0;
 };
@@ -49,6 +72,8 @@
     std::vector<StoreEvent> events;
     /// The revision from which the next watch continues.
     Revision revision = 0;
+    /// Era to which all revisions of the changes belong.
+    StoreEra era = 0;
     /// Number of changes that cannot be used and are not in `events`.
     std::size_t leftOut = 0;
 };
@@ -59,6 +84,8 @@
     LeaseId id = 0;
     /// Time to live that the store has granted.
     Duration timeToLive {};
+    /// Era in which the lease was granted. In a later one its number may belong to another lease.
+    StoreEra era = 0;
 };
 
 /// Writes and removals that the store applies all together or not at all.
--- a/src/Pimentoward/Discovery/Registration.cpp
+++ b/src/Pimentoward/Discovery/Registration.cpp
@@ -2,6 +2,8 @@
 
 #include "Pimentoward/Core/Log.h"
 
+#include <algorithm>
+
 namespace pimentoward {
 
 namespace {
@@ -49,7 +51,9 @@
                                return;
                            }
                            m_lease = lease->id;
+                           m_leaseEra = lease->era;
                            m_isWritten = false;
+                           forgetEarlierLease();
                            step();
                        });
 }
@@ -66,10 +70,11 @@
                 return;
             }
             m_isWritten = true;
+            m_writtenRevision = *revision;
             LOG4CPLUS_INFO(registrationLog(),
                            "event=registered key=" << m_settings.key << " lease=" << m_lease
                                                    << " revision=" << *revision);
-            m_timer.startOnce(m_settings.renewPeriod);
+            continueAfter(m_settings.renewPeriod);
         });
 }
 
@@ -82,7 +87,7 @@
                                onFailed("lease-not-renewed", failure);
                                return;
                            }
-                           m_timer.startOnce(m_settings.renewPeriod);
+                           continueAfter(m_settings.renewPeriod);
                        });
 }
 
@@ -95,12 +100,43 @@
         m_lease = 0;
         m_isWritten = false;
     }
+    forgetEarlierLease();
     m_timer.startOnce(m_settings.retryDelay);
 }
 
-void Registration::onKeyRemoved()
+void Registration::continueAfter(Duration pause)
+{
+    if (forgetEarlierLease()) {
+        step();
+        return;
+    }
+    m_timer.startOnce(pause);
+}
+
+bool Registration::forgetEarlierLease()
+{
+    if (m_lease == 0 || m_leaseEra >= m_era) {
+        return false;
+    }
+    LOG4CPLUS_INFO(registrationLog(),
+                   "event=lease-of-earlier-era lease=" << m_lease << " era=" << m_era);
+    m_lease = 0;
+    m_isWritten = false;
+    return true;
+}
+
+void Registration::onEra(StoreEra era)
+{
+    m_era = std::max(m_era, era);
+    if (!m_isLeaving && !m_isCallPending && forgetEarlierLease()) {
+        step();
+    }
+}
+
+void Registration::onKeyRemoved(const StorePosition &position)
 {
-    if (m_isLeaving || !m_isWritten) {
+    const bool wasWrittenAfter = position < StorePosition {m_leaseEra, m_writtenRevision};
+    if (m_isLeaving || !m_isWritten || wasWrittenAfter) {
         return;
     }
     LOG4CPLUS_WARN(registrationLog(), "event=key-vanished lease=" << m_lease);
--- a/src/Pimentoward/Discovery/StoreCopy.cpp
+++ b/src/Pimentoward/Discovery/StoreCopy.cpp
@@ -33,6 +33,14 @@
     }
 }
 
+void StoreCopy::startEra(StoreEra era)
+{
+    m_era = era;
+    m_history.clear();
+    m_historyStart = 0;
+    m_revision = 0;
+}
+
 void StoreCopy::clearHistory(Revision revision)
 {
     m_history.clear();
@@ -43,6 +51,7 @@
 {
     StorePage page;
     page.revision = m_revision;
+    page.era = m_era;
     auto it = after.empty() ? m_items.begin() : m_items.upper_bound(after);
     for (; it != m_items.end() && page.items.size() < m_settings.pageItems; ++it) {
         page.items.push_back(it->second);
@@ -58,6 +67,7 @@
     }
     StoreChanges changes;
     changes.revision = std::max(m_revision, after);
+    changes.era = m_era;
     for (const StoreEvent &event : m_history) {
         if (event.item.revision > after) {
             changes.events.push_back(event);
--- a/src/Pimentoward/Discovery/StoreCopy.h
+++ b/src/Pimentoward/Discovery/StoreCopy.h
@@ -31,6 +31,9 @@
     void onRemoved(const std::string &key, Revision revision);
     /// Reports that all changes up to `revision` have been applied.
     void onCaughtUp(Revision revision);
+    /// Reports that the store has come back from a copy, in this era. The copy is incomplete until
+    /// the next full listing.
+    void startEra(StoreEra era);
     /// Clears the history, which starts again at `revision`. Must be called after a full listing,
     /// because the order of the changes in a listing is unknown.
     void clearHistory(Revision revision);
@@ -39,6 +42,7 @@
     bool isComplete() const { return m_revision > 0; }
     /// Revision up to which all changes have been applied.
     Revision revision() const { return m_revision; }
+    StoreEra era() const { return m_era; }
     /// The page of items after the key `after`.
     StorePage range(const std::string &after) const;
     /// The changes after a revision; nothing if the history does not reach back that far.
@@ -51,6 +55,7 @@
     /// The history holds all changes after this revision.
     Revision m_historyStart = 0;
     Revision m_revision = 0;
+    StoreEra m_era = 0;
 };
 
 } // namespace pimentoward
--- a/src/Pimentoward/Discovery/StoreMirror.cpp
+++ b/src/Pimentoward/Discovery/StoreMirror.cpp
@@ -54,6 +54,14 @@
 void StoreMirror::onPage(const StorePage &page)
 {
     m_consecutiveFailures = 0;
+    if (page.era > m_era) {
+        const bool isFirstPage = m_listRevision == 0;
+        startEra(page.era);
+        if (!isFirstPage) {
+            // The earlier pages show an earlier era.
+            return;
+        }
+    }
     if (m_listRevision == 0) {
         m_listRevision = page.revision;
     }
@@ -93,6 +101,11 @@
 void StoreMirror::onChanges(const StoreChanges &changes)
 {
     m_consecutiveFailures = 0;
+    if (changes.era > m_era) {
+        // The changes follow a revision of the new era, which this copy has never had.
+        startEra(changes.era);
+        return;
+    }
     for (const StoreEvent &event : changes.events) {
         if (event.isRemoved) {
             remove(event.item.key, event.item.revision);
@@ -108,10 +121,7 @@
 void StoreMirror::onFailed(const StoreFailure &failure)
 {
     if (failure.error == StoreError::HistoryGone) {
-        m_isListing = true;
-        m_listAfter.clear();
-        m_listedKeys.clear();
-        m_listRevision = 0;
+        restartList();
         return;
     }
     ++m_consecutiveFailures;
@@ -119,11 +129,31 @@
     if (m_isListing) {
         // An interrupted listing starts again, because the keys on its first pages may have changed
         // since.
-        m_listAfter.clear();
-        m_listedKeys.clear();
-        m_listRevision = 0;
+        restartList();
     }
     m_hooks.onOutage();
 }
 
+void StoreMirror::restartList()
+{
+    m_isListing = true;
+    m_listAfter.clear();
+    m_listedKeys.clear();
+    m_listRevision = 0;
+}
+
+void StoreMirror::startEra(StoreEra era)
+{
+    const bool isFirst = m_revisions.empty() && !m_isComplete;
+    m_era = era;
+    m_revision = 0;
+    for (auto &[key, revision] : m_revisions) {
+        revision = 0;
+    }
+    restartList();
+    if (m_hooks.onEra) {
+        m_hooks.onEra(era, !isFirst);
+    }
+}
+
 } // namespace pimentoward
--- a/src/Pimentoward/Discovery/StoreMirror.h
+++ b/src/Pimentoward/Discovery/StoreMirror.h
@@ -14,7 +14,9 @@
 
 /// Decides which calls keep a copy of all keys with a prefix up to date: a full listing, then
 /// watches; a new listing if the history no longer reaches back far enough; a pause after a
-/// failure. Does no input or output.
+/// failure. A store that comes back from a copy of its content starts a new era: everything is
+/// listed again, and keys that the copy lacks are removed at the end of the listing. Answers of an
+/// earlier position must not be reported. Does no input or output.
 ///
 /// Load pattern: every VM follows a store that counts each call. Many backend servers may start or
 /// stop within a second. The store may fail for seconds and then get requests from all VMs at once.
@@ -65,6 +67,9 @@
         std::function<void()> onOutage;
         /// All changes in an answer have been reported; `isList` is true at the end of a listing.
         std::function<void(bool isList)> onCaughtUp;
+        /// An era of the store begins; runs before its changes. `isRestored` is true if the store
+        /// has come back from a copy, and false for the first era that is known.
+        std::function<void(StoreEra, bool isRestored)> onEra {};
     };
 
     StoreMirror(const Settings &settings, Hooks hooks);
@@ -82,11 +87,16 @@
     bool isComplete() const { return m_isComplete; }
     /// Revision up to which the copy is known; during a listing at least that of its first page.
     Revision revision() const { return std::max(m_revision, m_listRevision); }
+    /// The era and the revision up to which the copy is known.
+    StorePosition position() const { return {m_era, revision()}; }
 
 private:
     void apply(const StoreItem &item);
     void remove(const std::string &key, Revision revision);
     void finishList();
+    void restartList();
+    /// Forgets the revisions of all keys, since they belong to an earlier era.
+    void startEra(StoreEra era);
 
     Settings m_settings;
     Hooks m_hooks;
@@ -97,6 +107,7 @@
     /// Revision of the first page of the current listing; 0 before that page.
     Revision m_listRevision = 0;
     Revision m_revision = 0;
+    StoreEra m_era = 0;
     bool m_isListing = true;
     bool m_isComplete = false;
     bool m_isPausing = false;
--- a/standins/KeyValueModel.cpp
+++ b/standins/KeyValueModel.cpp
@@ -25,6 +25,7 @@
 {
     StorePage page;
     page.revision = m_revision;
+    page.era = m_era;
     auto it = after.empty() ? m_items.lower_bound(prefix) : m_items.upper_bound(after);
     for (; it != m_items.end() && hasPrefix(it->first, prefix); ++it) {
         if (page.items.size() == m_settings.pageItems) {
@@ -38,11 +39,12 @@
 
 std::optional<StoreChanges> KeyValueModel::changes(const std::string &prefix, Revision after) const
 {
-    if (after < m_historyStart) {
+    if (after < m_historyStart || after > m_revision) {
         return std::nullopt;
     }
     StoreChanges changes;
     changes.revision = m_revision;
+    changes.era = m_era;
     for (const Change &change : m_history) {
         if (change.event.item.revision > after && hasPrefix(change.event.item.key, prefix)) {
             changes.events.push_back(change.event);
@@ -80,7 +82,7 @@
 {
     ++m_lastLease;
     m_leases[m_lastLease] = {timeToLive, now + timeToLive};
-    return {m_lastLease, timeToLive};
+    return {m_lastLease, timeToLive, m_era};
 }
 
 bool KeyValueModel::renewLease(LeaseId lease, SteadyTime now)
@@ -150,6 +152,13 @@
     }
 }
 
+void KeyValueModel::restore(const KeyValueModel &copy)
+{
+    const StoreEra next = m_era + 1;
+    *this = copy;
+    m_era = next;
+}
+
 void KeyValueModel::dropHistory()
 {
     m_history.clear();
--- a/standins/KeyValueModel.h
+++ b/standins/KeyValueModel.h
@@ -52,7 +52,11 @@
     void expire(SteadyTime now);
     /// Drops the complete history.
     void dropHistory();
+    /// Replaces the content, the revision, the leases and the history by those of an earlier copy
+    /// of this model, and raises the era.
+    void restore(const KeyValueModel &copy);
     Revision revision() const { return m_revision; }
+    StoreEra era() const { return m_era; }
 
 private:
     struct Lease
@@ -76,6 +80,7 @@
     Revision m_historyStart = 1;
     Revision m_revision = 1;
     LeaseId m_lastLease = 0;
+    StoreEra m_era = 0;
     /// Time of the last call of expire(). New changes are stored in the history with this time.
     SteadyTime m_now {};
 };
--- a/standins/KeyValueServer.cpp
+++ b/standins/KeyValueServer.cpp
@@ -93,6 +93,12 @@
     m_model.dropHistory();
 }
 
+void KeyValueServer::restore(const KeyValueModel &copy)
+{
+    m_model.restore(copy);
+    answerWatches();
+}
+
 bool KeyValueServer::isHandledByMode(const HttpRequest &request,
                                      const HttpServer::Responder &respond)
 {
@@ -119,6 +125,9 @@
         return;
     }
     HttpAnswer sent = answer;
+    if (m_model.era() > 0) {
+        sent.headers["Store-Era"] = std::to_string(m_model.era());
+    }
     if (m_mode == Mode::Malformed) {
         sent.body = "{\"items\":[{\"key\":7";
     }
--- a/standins/KeyValueServer.h
+++ b/standins/KeyValueServer.h
@@ -44,6 +44,8 @@
     void remove(const std::string &key);
     /// Drops the complete history of changes, so that watches from older revisions fail with 410.
     void dropHistory();
+    /// Brings back an earlier copy of the model, and answers the watches that wait.
+    void restore(const KeyValueModel &copy);
     KeyValueModel &model() { return m_model; }
     /// Number of calls by path, including those that were refused or not answered.
     const std::map<std::string, std::uint64_t> &calls() const { return m_calls; }
