--- a/cmake/TierSources.cmake
+++ b/cmake/TierSources.cmake
@@ -35,6 +35,7 @@
   Discovery/DiscoveredRecords.cpp
   Discovery/DiscoveredRollouts.cpp
   Discovery/Discovery.cpp
+  Discovery/DiscoveryMembers.cpp
   Discovery/RolloutReportCodec.cpp
   Discovery/RolloutWriter.cpp
   Rollout/RolloutEvidence.cpp
--- a/tests/Discovery/RestoredRecordsTest.cpp
+++ b/tests/Discovery/RestoredRecordsTest.cpp
@@ -49,25 +49,25 @@
     now += 1h;
     for (const StoreItem &item : {settingsItem(5, 8), backendItem("i-1", 9), backendItem("i-2", 9),
                                   StoreItem {"op/evacuate/b", "", 10, 0}}) {
-        fixture.records.onWritten(item);
+        fixture.records.onWritten(item, now);
     }
     fixture.records.publish(now);
     CHECK(fixture.backends == 2);
-    fixture.records.onWritten({"op/evacuate/a", "", 11, 0});
+    fixture.records.onWritten({"op/evacuate/a", "", 11, 0}, now);
     fixture.records.publish(now);
     CHECK(fixture.backends == 0);
     // The copy has older settings, no key that takes "a" out of service, and no record of "i-2".
     fixture.records.onRestored();
-    fixture.records.onWritten(settingsItem(4, 3));
+    fixture.records.onWritten(settingsItem(4, 3), now);
     fixture.records.onRemoved("op/evacuate/a", now);
     fixture.records.onRemoved("servers/i-2", now);
     fixture.records.onListed();
     fixture.records.publish(now + 1s);
     CHECK(fixture.settings == 5);
     CHECK(fixture.backends == 0);
-    fixture.records.onWritten({"op/evacuate/a", "", 7, 0});
-    fixture.records.onWritten(backendItem("i-2", 8));
-    fixture.records.onWritten(settingsItem(6, 9));
+    fixture.records.onWritten({"op/evacuate/a", "", 7, 0}, now);
+    fixture.records.onWritten(backendItem("i-2", 8), now);
+    fixture.records.onWritten(settingsItem(6, 9), now);
     fixture.records.publish(now + 1min);
     CHECK(fixture.settings == 6);
     CHECK(fixture.backends == 0);
@@ -82,8 +82,8 @@
     RecordsFixture fixture;
     SteadyTime now {};
     now += 1h;
-    fixture.records.onWritten(backendItem("i-1", 9));
-    fixture.records.onWritten({"op/evacuate/a", "", 10, 0});
+    fixture.records.onWritten(backendItem("i-1", 9), now);
+    fixture.records.onWritten({"op/evacuate/a", "", 10, 0}, now);
     fixture.records.publish(now);
     fixture.records.onRestored();
     fixture.records.onRemoved("op/evacuate/a", now);
