--- a/cmake/TierSources.cmake
+++ b/cmake/TierSources.cmake
@@ -73,11 +73,9 @@
   Request/ForwarderExchanges.cpp
   Request/Gather.cpp
   Request/GatherAnswer.cpp
-  Request/GatherRetries.cpp
   Request/LatencyEstimate.cpp
   Request/RecordMerge.cpp
   Request/ReplyClassifier.cpp
-  Request/RetryAllocation.cpp
   Request/RequestPlanner.cpp
   Request/RequestReport.cpp
   Request/RouteLatencies.cpp
--- a/src/Pimentoward/Connection/BackendHealth.cpp
+++ b/src/Pimentoward/Connection/BackendHealth.cpp
@@ -40,7 +40,6 @@
     const double decayed = decayedSlowness(now);
     m_slowness = decayed + m_settings.sampleWeight * (ratio - decayed);
     m_slownessUpdatedAt = now;
-    changeRefusedShare(0, now);
     m_consecutiveFailures = 0;
     m_backoffUntil = now;
     return endsFailures;
@@ -66,35 +65,12 @@
     return isOverdue || now < m_backoffUntil;
 }
 
-void BackendHealth::onRefused(unsigned number, SteadyTime now)
-{
-    if (removeInFlight(number)) {
-        changeRefusedShare(1, now);
-    }
-}
-
-void BackendHealth::changeRefusedShare(double observed, SteadyTime now)
-{
-    const double decayed = refusedShare(now);
-    m_refusedShare = decayed + m_settings.refusalWeight * (observed - decayed);
-    m_refusedShareUpdatedAt = now;
-}
-
-double BackendHealth::remainingPart(SteadyTime time, SteadyTime now) const
-{
-    const std::chrono::duration<double> age = now - time;
-    const std::chrono::duration<double> halfLife = m_settings.decayHalfLife;
-    return std::exp2(-age.count() / halfLife.count());
-}
-
 double BackendHealth::decayedSlowness(SteadyTime now) const
 {
-    return 1 + (m_slowness - 1) * remainingPart(m_slownessUpdatedAt, now);
-}
-
-double BackendHealth::refusedShare(SteadyTime now) const
-{
-    return m_refusedShare * remainingPart(m_refusedShareUpdatedAt, now);
+    const std::chrono::duration<double> age = now - m_slownessUpdatedAt;
+    const std::chrono::duration<double> halfLife = m_settings.decayHalfLife;
+    const double remaining = std::exp2(-age.count() / halfLife.count());
+    return 1 + (m_slowness - 1) * remaining;
 }
 
 double BackendHealth::expectedSlowness(SteadyTime now) const
--- a/src/Pimentoward/Connection/BackendHealth.h
+++ b/src/Pimentoward/Connection/BackendHealth.h
@@ -11,9 +11,7 @@
 ///
 /// Load pattern: each backend server pauses for a moment every few seconds. Some become several
 /// times slower or stop answering for seconds, and none of them reports it. An overdue request is
-/// the first sign; further requests go to other replicas until a reply arrives. Others refuse a
-/// part of their requests for seconds and run the rest as usual. They stay usable, but replicas
-/// that have not refused lately go first.
+/// the first sign; further requests go to other replicas until a reply arrives.
 class BackendHealth
 {
 public:
@@ -25,9 +23,6 @@
         Duration decayHalfLife = std::chrono::seconds(4);
         /// Slowness that each request in flight adds to the estimate for the next one.
         double inFlightWeight = 0.3;
-        /// Weight of one refusal, or of one reply after refusals, in the moving average of the
-        /// share of requests that are refused.
-        double refusalWeight = 0.5;
         /// Time for which the backend server stays suspect after the first failure. It doubles with
         /// each consecutive failure, up to `maxBackoff`.
         Duration initialBackoff = std::chrono::milliseconds(100);
@@ -47,17 +42,11 @@
     /// the first of a series of consecutive failures.
     bool onFailed(unsigned number, SteadyTime now);
 
-    /// Records that the backend server refused a request without running it.
-    void onRefused(unsigned number, SteadyTime now);
-
     std::size_t inFlight() const { return m_inFlight.size(); }
     /// True while a request is overdue, and during the back-off after a failure.
     bool isSuspect(SteadyTime now) const;
     /// Expected time of one more request, as a multiple of the usual time.
     double expectedSlowness(SteadyTime now) const;
-    /// Share of the next requests that the backend server is expected to refuse. It decays towards
-    /// 0 while nothing is sent.
-    double refusedShare(SteadyTime now) const;
 
 private:
     /// A request in flight.
@@ -71,17 +60,12 @@
     bool removeInFlight(unsigned number);
     /// The observed slowness, decayed towards 1 by the time since the last reply.
     double decayedSlowness(SteadyTime now) const;
-    /// Remaining part of an observation that was made at `time`.
-    double remainingPart(SteadyTime time, SteadyTime now) const;
-    void changeRefusedShare(double observed, SteadyTime now);
 
     Settings m_settings;
     std::vector<Sent> m_inFlight;
     unsigned m_lastNumber = 0;
     double m_slowness = 1;
     SteadyTime m_slownessUpdatedAt {};
-    double m_refusedShare = 0;
-    SteadyTime m_refusedShareUpdatedAt {};
     unsigned m_consecutiveFailures = 0;
     SteadyTime m_backoffUntil {};
 };
--- a/src/Pimentoward/Request/BackendChooser.h
+++ b/src/Pimentoward/Request/BackendChooser.h
@@ -10,8 +10,7 @@
 /// Chooses the backend server for one attempt, based on what this VM has observed of each server.
 /// Performs no I/O; apart from its random numbers it is deterministic.
 ///
-/// Load pattern: a shard has two or three replicas, one of which is paused, slow or at capacity, or
-/// refuses a part of its requests.
+/// Load pattern: a shard has two or three replicas, one of which is paused, slow or at capacity.
 /// The VMs choose independently of each other, so a small random factor keeps them from all
 /// choosing the same replica.
 class BackendChooser
@@ -31,8 +30,6 @@
         bool isSuspect = false;
         /// Expected reply time, as a multiple of the median time.
         double slowness = 1;
-        /// Share of the attempts that the backend server is expected to refuse.
-        double refusedShare = 0;
     };
 
     struct Settings
@@ -41,9 +38,6 @@
         double remotePenalty = 0.35;
         /// Maximum random increase of a candidate's cost, as a share of that cost.
         double jitter = 0.1;
-        /// Candidates that refuse a greater share are used only if the others have no free
-        /// capacity, and never for a hedge.
-        double usualRefusedShare = 0.25;
         std::uint32_t seed = 1;
     };
 
@@ -53,15 +47,8 @@
     Gather::Choice choose(const std::vector<Candidate> &candidates, SendPurpose purpose);
 
 private:
-    /// What the candidates for one choice have in common.
-    struct Filter
-    {
-        bool isPreferred = true;
-        bool needsHealthy = false;
-        double maxRefusedShare = 1;
-    };
-
-    const Candidate *best(const std::vector<Candidate> &candidates, const Filter &filter);
+    const Candidate *best(const std::vector<Candidate> &candidates, bool isPreferred,
+                          bool needsHealthy);
     double cost(const Candidate &candidate);
 
     Settings m_settings;
--- a/src/Pimentoward/Request/BackendSelector.cpp
+++ b/src/Pimentoward/Request/BackendSelector.cpp
@@ -68,8 +68,7 @@
         const BackendRecord &record = link->record();
         candidates.push_back({&record.id, record.failureDomain == m_settings.failureDomain,
                               link->isPreferred(), link->hasFreeCapacity() && !isColdLimitReached,
-                              link->health().isSuspect(now), link->health().expectedSlowness(now),
-                              link->health().refusedShare(now)});
+                              link->health().isSuspect(now), link->health().expectedSlowness(now)});
     }
     Gather::Choice choice = m_chooser.choose(candidates, purpose);
     if (candidates.empty() && pausedUntil) {
--- a/src/Pimentoward/Request/Forwarder.cpp
+++ b/src/Pimentoward/Request/Forwarder.cpp
@@ -1,7 +1,5 @@
 #include "Pimentoward/Request/Forwarder.h"
 
-#include "Pimentoward/Process/RendezvousHash.h"
-
 #include <algorithm>
 
 namespace pimentoward {
@@ -19,14 +17,6 @@
     return selector;
 }
 
-/// This VM's rounding of the retry budget of `service`, from 0 to less than 1.
-double budgetRounding(const MemberId &self, const ServiceName &service)
-{
-    constexpr unsigned unusedBits = 11;
-    constexpr double steps = 9007199254740992.0; // 2^53, all that a double can hold exactly
-    return static_cast<double>(RendezvousHash::weight(self, service) >> unusedBits) / steps;
-}
-
 HealthChecker::Settings healthCheckerSettings(const ForwarderSettings &settings)
 {
     HealthChecker::Settings checker;
@@ -55,9 +45,6 @@
                      },
                      [this](const ServiceName &service, SteadyTime now) {
                          return acquireExtraRequest(service, now);
-                     },
-                     [this](const ServiceName &service, int priority, SteadyTime now) {
-                         return retryRoom(service, priority, now);
                      }}
     , m_dispatchTimer(loop, [this] { dispatchWaiting(); })
     , m_retryTimer(loop, [this] { dispatchWaiting(); })
@@ -231,19 +218,7 @@
 
 SharedRetryBudget &Forwarder::budget(const ServiceName &service)
 {
-    if (const auto found = m_budgets.find(service); found != m_budgets.end()) {
-        return found->second;
-    }
-    return m_budgets
-        .try_emplace(service, m_settings.retryBudget,
-                     budgetRounding(m_settings.fleet.self, service))
-        .first->second;
-}
-
-SharedRetryBudget::Room Forwarder::retryRoom(const ServiceName &service, int priority,
-                                             SteadyTime now)
-{
-    return budget(service).room(now, std::max<std::size_t>(1, m_members.size()), priority);
+    return m_budgets.try_emplace(service, m_settings.retryBudget).first->second;
 }
 
 bool Forwarder::acquireExtraRequest(const ServiceName &service, SteadyTime now)
--- a/src/Pimentoward/Request/Forwarder.h
+++ b/src/Pimentoward/Request/Forwarder.h
@@ -193,7 +193,6 @@
     void updateFleet();
     /// Checks the requests that wait for `service` again at `time`.
     void scheduleRetry(const ServiceName &service, SteadyTime time);
-    SharedRetryBudget::Room retryRoom(const ServiceName &service, int priority, SteadyTime now);
     bool acquireExtraRequest(const ServiceName &service, SteadyTime now);
     SharedRetryBudget &budget(const ServiceName &service);
 
--- a/src/Pimentoward/Request/ForwarderArrivals.cpp
+++ b/src/Pimentoward/Request/ForwarderArrivals.cpp
@@ -136,7 +136,7 @@
                          {arrival.readAt, m_messages.timeLeft(arrival.request), arrival.isFirst,
                           workspace == nullptr ? std::nullopt : workspace->priority});
     for (const ServiceName &service : plan.gather.parts) {
-        budget(service).onRequest(now, plan.gather.priority);
+        budget(service).onRequest(now);
     }
     if (!plan.canBeAnswered) {
         refuse(caller, arrived.id,
--- a/src/Pimentoward/Request/ForwarderExchanges.cpp
+++ b/src/Pimentoward/Request/ForwarderExchanges.cpp
@@ -101,9 +101,6 @@
         exchange.link->concurrencyLimit().onReply(exchange.sentAt, now,
                                                   exchange.route->latencyObjective);
         m_planner.onReply(*exchange.route, time);
-    } else if (reply.isRefused) {
-        health.onRefused(exchange.healthNumber, now);
-        m_report.onRefusedByBackend(exchange.link->record());
     } else {
         recordFailure(exchange, reply.reason, now);
     }
--- a/src/Pimentoward/Request/Gather.cpp
+++ b/src/Pimentoward/Request/Gather.cpp
@@ -6,6 +6,16 @@
 
 namespace pimentoward {
 
+namespace {
+
+/// Attempts that one part may make beyond the plan's maxAttempts, as a replacement for attempts
+/// that did not run.
+constexpr unsigned maxRefusedSends = 2;
+/// Delay after which a hedge that found no retry budget or no backend server is tried again.
+constexpr std::chrono::milliseconds hedgeRecheckDelay {15};
+
+} // namespace
+
 Gather::Gather(GatherPlan plan, const Environment &environment)
     : Gather(std::move(plan), environment, Checks())
 { }
@@ -58,6 +68,23 @@
     send(index, choice.backend, purpose, now, actions);
 }
 
+void Gather::waitOrGiveUp(Part &part, const Choice &choice, SteadyTime now)
+{
+    const bool isRetry = part.sends > 0;
+    const bool isInTime = !isRetry || now < m_plan.refuseBy;
+    if (choice.pausedUntil) {
+        part.isWaiting = isInTime && *choice.pausedUntil < m_plan.refuseBy;
+        part.pausedUntil = choice.pausedUntil;
+        m_progress.lastFailure = "all backend servers have asked for a pause";
+    } else {
+        part.isWaiting = isInTime && choice.mayBecomeAvailable;
+        if (!choice.mayBecomeAvailable && !isRetry) {
+            m_progress.lastFailure = "no backend server in service";
+        }
+    }
+    part.isGivenUp = !part.isWaiting;
+}
+
 void Gather::send(std::size_t index, const BackendServerId &backend, SendPurpose purpose,
                   SteadyTime now, GatherActions &actions)
 {
@@ -79,6 +106,18 @@
         GatherSend {index, static_cast<AttemptNumber>(m_attempts.size()), purpose, backend});
 }
 
+bool Gather::canAttemptAgain(const Part &part) const
+{
+    if (part.sends >= m_plan.maxAttempts + maxRefusedSends) {
+        return false;
+    }
+    if (part.possibleRuns == 0) {
+        return true;
+    }
+    const bool isRepeatable = m_plan.isIdempotent || !m_checks.atMostOnce;
+    return isRepeatable && part.possibleRuns < m_plan.maxAttempts;
+}
+
 GatherActions Gather::onReply(AttemptNumber number, ClassifiedReply reply, SteadyTime now)
 {
     if (m_isFinished) {
@@ -98,29 +137,62 @@
         part.answer = std::move(reply);
         part.hedgeAt.reset();
         part.isWaiting = false;
-        if (hasHeldParts() && !hasAttemptInFlight() && !isEndDue(now)) {
-            allocateRetries(now, actions);
-        }
         return finishIfDone(std::move(actions), now);
     }
     m_progress.lastFailure = reply.reason;
-    ++m_failedAttempts;
     if (reply.kind == ReplyKind::NotRun) {
         --part.possibleRuns;
     }
-    if (reply.isRefused && m_checks.refusedAgain) {
-        part.tried.erase(std::find(part.tried.begin(), part.tried.end(), attempt.backend));
-        part.refusedBy.push_back(attempt.backend);
-    }
     if (reply.kind == ReplyKind::Failure) {
         part.failure = std::move(reply.message);
     }
     if (part.inFlight == 0 && !isEndDue(now)) {
-        retryOrHold(index, now, actions);
+        retry(index, now, actions);
     }
     return finishIfDone(std::move(actions), now);
 }
 
+void Gather::retry(std::size_t index, SteadyTime now, GatherActions &actions)
+{
+    Part &part = m_parts[index];
+    part.hedgeAt.reset();
+    if (!canAttemptAgain(part)) {
+        part.isGivenUp = true;
+        return;
+    }
+    const ServiceName &service = m_plan.parts[index];
+    const Choice choice = m_environment.choose(service, part.tried, SendPurpose::Retry, now);
+    if (choice.backend.empty()) {
+        waitOrGiveUp(part, choice, now);
+        return;
+    }
+    part.isWaiting = false;
+    if (m_checks.budget && !m_environment.acquireExtraRequest(service, now)) {
+        part.isGivenUp = true;
+        m_progress.lastFailure += ", retry budget spent";
+        return;
+    }
+    send(index, choice.backend, SendPurpose::Retry, now, actions);
+}
+
+void Gather::hedge(std::size_t index, SteadyTime now, GatherActions &actions)
+{
+    Part &part = m_parts[index];
+    part.hedgeAt.reset();
+    if (!m_plan.isIdempotent || part.inFlight == 0 || !canAttemptAgain(part)) {
+        return;
+    }
+    const ServiceName &service = m_plan.parts[index];
+    const Choice choice = m_environment.choose(service, part.tried, SendPurpose::Hedge, now);
+    const bool isGranted = !choice.backend.empty()
+        && (!m_checks.budget || m_environment.acquireExtraRequest(service, now));
+    if (!isGranted) {
+        part.hedgeAt = now + hedgeRecheckDelay;
+        return;
+    }
+    send(index, choice.backend, SendPurpose::Hedge, now, actions);
+}
+
 GatherActions Gather::onFreeCapacity(const std::set<ServiceName> &services, SteadyTime now)
 {
     GatherActions actions;
@@ -141,6 +213,16 @@
     return finishIfDone(std::move(actions), now);
 }
 
+void Gather::giveUpLateRetries(SteadyTime now)
+{
+    for (Part &part : m_parts) {
+        if (part.isWaiting && part.sends > 0 && now >= m_plan.refuseBy) {
+            part.isWaiting = false;
+            part.isGivenUp = true;
+        }
+    }
+}
+
 GatherActions Gather::onTimer(SteadyTime now)
 {
     GatherActions actions;
@@ -148,9 +230,6 @@
     if (m_isFinished || isEndDue(now)) {
         return finishIfDone(std::move(actions), now);
     }
-    if (m_allocateAt && *m_allocateAt <= now) {
-        allocateRetries(now, actions);
-    }
     for (std::size_t index = 0; index < m_parts.size(); ++index) {
         const Part &part = m_parts[index];
         if (!part.answer && part.hedgeAt && *part.hedgeAt <= now) {
@@ -172,9 +251,6 @@
     if (m_plan.isFanout && hasMinCoverage()) {
         next = std::min(next, m_plan.answerBy);
     }
-    if (m_allocateAt) {
-        next = std::min(next, *m_allocateAt);
-    }
     for (const Part &part : m_parts) {
         if (!part.answer && part.hedgeAt) {
             next = std::min(next, *part.hedgeAt);
--- a/src/Pimentoward/Request/Gather.h
+++ b/src/Pimentoward/Request/Gather.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "Pimentoward/Request/GatherTypes.h"
-#include "Pimentoward/Request/SharedRetryBudget.h"
 
 #include <functional>
 #include <set>
@@ -36,17 +35,11 @@
     /// if the budget is used up.
     using AcquireExtraRequestHook = std::function<bool(const ServiceName &service, SteadyTime now)>;
 
-    /// Returns what requests of `priority` may still use of the retry budget of `service`.
-    using RetryRoomHook = std::function<SharedRetryBudget::Room(const ServiceName &service,
-                                                                int priority, SteadyTime now)>;
-
     /// Hooks that a Gather calls. They must outlive it.
     struct Environment
     {
         ChooseHook choose;
         AcquireExtraRequestHook acquireExtraRequest;
-        /// Optional; without it each part takes what its budget has left.
-        RetryRoomHook retryRoom {};
     };
 
     /// Each check can be disabled by tests that show which failure it prevents.
@@ -60,11 +53,6 @@
         bool trueNotRun = true;
         /// Acquires hedges and retries from the shared retry budget.
         bool budget = true;
-        /// Uses a short retry budget only for fan-outs that are expected to reach their minimum
-        /// coverage.
-        bool wholeFanouts = true;
-        /// Sends a part again to a backend server that has refused it once no other is left.
-        bool refusedAgain = true;
     };
 
     Gather(GatherPlan plan, const Environment &environment);
@@ -97,10 +85,8 @@
         /// The latest reply that reported a failure; forwarded to the caller if no attempt
         /// succeeds.
         std::optional<HttpReplyMessage> failure;
-        /// Backend servers that the part has been sent to, apart from `refusedBy`.
+        /// Backend servers that the part has been sent to.
         std::vector<BackendServerId> tried;
-        /// Backend servers that have refused the part for lack of room and may take it later.
-        std::vector<BackendServerId> refusedBy;
         /// Number of attempts that have not ended.
         unsigned inFlight = 0;
         /// Number of attempts that are running, have run or may have run.
@@ -109,8 +95,6 @@
         unsigned sends = 0;
         /// True while the next attempt waits for a backend server that can take it.
         bool isWaiting = false;
-        /// True while the next attempt waits for the decision which failed parts are sent again.
-        bool isHeld = false;
         /// True if no further attempt will be made.
         bool isGivenUp = false;
         /// When a backend server of the part accepts requests again, if that is why the part was
@@ -131,20 +115,6 @@
               SteadyTime now, GatherActions &actions);
     void hedge(std::size_t index, SteadyTime now, GatherActions &actions);
     void retry(std::size_t index, SteadyTime now, GatherActions &actions);
-    /// Retries a part that has failed, or holds it until it is known how many parts have failed.
-    void retryOrHold(std::size_t index, SteadyTime now, GatherActions &actions);
-    /// Sends those of the held parts again that RetryAllocation chooses.
-    void allocateRetries(SteadyTime now, GatherActions &actions);
-    /// Number of times that a part can be sent again now.
-    unsigned retriesLeft(std::size_t index, SteadyTime now) const;
-    void giveUpHeldParts();
-    bool hasHeldParts() const;
-    /// True if as many parts have failed that the coverage may be missed, or the budget is short.
-    bool needsAllocation(std::size_t index, SteadyTime now) const;
-    bool hasAttemptInFlight() const;
-    /// Chooses a backend server for another attempt of a part; one that has refused it only if no
-    /// other is in service.
-    Choice chooseAgain(std::size_t index, SendPurpose purpose, SteadyTime now);
     /// Waits for a backend server to send a part to, or gives the part up if none can take it in
     /// time.
     void waitOrGiveUp(Part &part, const Choice &choice, SteadyTime now);
@@ -183,10 +153,6 @@
     std::vector<Attempt> m_attempts;
     /// Counts and the last failure, updated while the request runs.
     GatherOutcome m_progress;
-    /// Number of attempts that were refused or failed.
-    unsigned m_failedAttempts = 0;
-    /// When the held parts are decided on.
-    std::optional<SteadyTime> m_allocateAt;
     bool m_isFinished = false;
 };
 
--- a/src/Pimentoward/Request/GatherTypes.h
+++ b/src/Pimentoward/Request/GatherTypes.h
@@ -51,9 +51,6 @@
     /// True if another backend server replied, because the address no longer belongs to the one
     /// that the request was meant for.
     bool isMisdirected = false;
-    /// True if the backend server has refused the request without running it, neither leaves nor
-    /// asks for a pause, and so may take the next one.
-    bool isRefused = false;
     /// True if the backend server states that it is about to stop.
     bool isLeaving = false;
     /// How long the backend server wants no requests, if it turned this one away for that time.
@@ -73,8 +70,6 @@
     unsigned maxAttempts = 1;
     /// Minimum share of the parts that an answer must contain.
     double minCoverage = 1;
-    /// Priority of the request; 0 is the most urgent.
-    int priority = 0;
     /// Maximum number of records in a fan-out's answer.
     std::size_t topRecords = 0;
     /// From this time on, a fan-out with the minimum coverage is answered at once.
--- a/src/Pimentoward/Request/ReplyClassifier.cpp
+++ b/src/Pimentoward/Request/ReplyClassifier.cpp
@@ -43,7 +43,6 @@
         result.reason = "address belongs to another backend server";
     } else if (!isSuccess(reply.status) && reply.headers.has(names.notRun)) {
         result.kind = ReplyKind::NotRun;
-        result.isRefused = !result.isLeaving && !result.pause;
         result.reason = "refused by backend server";
     } else if (result.signature.empty()) {
         result.reason = "reply has no signature";
--- a/src/Pimentoward/Request/RequestPlanner.cpp
+++ b/src/Pimentoward/Request/RequestPlanner.cpp
@@ -14,10 +14,10 @@
 {
     RequestPlan plan;
     plan.gather = gatherPlan(route, arrival);
-    plan.gather.priority = arrival.priority.value_or(route.priority);
     plan.medianTime = m_latencies.medianTime(route);
     const Duration needed = scaled(plan.medianTime, m_settings.mediansNeeded);
-    plan.urgency = {plan.gather.priority, arrival.readAt, plan.gather.answerBy - needed};
+    plan.urgency = {arrival.priority.value_or(route.priority), arrival.readAt,
+                    plan.gather.answerBy - needed};
     endWithService(plan, route, arrival.readAt, needed);
     return plan;
 }
--- a/src/Pimentoward/Request/RequestReport.cpp
+++ b/src/Pimentoward/Request/RequestReport.cpp
@@ -65,15 +65,6 @@
         .add();
 }
 
-void RequestReport::onRefusedByBackend(const BackendRecord &backend)
-{
-    m_metrics
-        .counter("pimentoward_backend_refusals_total",
-                 "Attempts that backend servers refused without running them",
-                 {{"domain", backend.failureDomain}})
-        .add();
-}
-
 void RequestReport::onBackendHealthy(const BackendRecord &backend)
 {
     LOG4CPLUS_INFO(requestLog(),
--- a/src/Pimentoward/Request/RequestReport.h
+++ b/src/Pimentoward/Request/RequestReport.h
@@ -24,8 +24,6 @@
     /// Reports the first failure of a backend server after successful replies. `id` is empty if the
     /// affected request has already ended.
     void onBackendFailing(const BackendRecord &backend, const RequestId &id, const char *reason);
-    /// Counts an attempt that a backend server refused without running it.
-    void onRefusedByBackend(const BackendRecord &backend);
     /// Reports the first successful reply of a backend server after failures.
     void onBackendHealthy(const BackendRecord &backend);
     /// Reports that a backend server has stated in a reply that it is leaving.
